--- /dev/null
+++ b/shuntcommand/config.go
@@ -0,0 +1,170 @@
+package shuntcommand
+
+import (
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+)
+
+// documentSuffix is the file name suffix of documents in a folder. The path
+// below the folder, without it, is the key: Service/showroom-00.toml.
+const documentSuffix = ".toml"
+
+func checkCommand() command {
+	return command{
+		name: "check",
+		args: "FOLDER | SETTINGS-FILE",
+		text: "check a folder of documents before they are published, or a daemon's settings file",
+		flags: func(fs *flag.FlagSet) func(*env) error {
+			asJSON := fs.Bool("json", false, "print JSON")
+			return func(e *env) error { return runCheck(e, *asJSON) }
+		},
+	}
+}
+
+// finding is one thing wrong.
+type finding struct {
+	Key     string
+	Problem string
+}
+
+func runCheck(e *env, asJSON bool) error {
+	if len(e.args) != 1 {
+		return usage("give one folder or one settings file")
+	}
+	info, err := os.Stat(e.args[0])
+	if err != nil {
+		return usage("%v", err)
+	}
+	var found []finding
+	n := 1
+	if info.IsDir() {
+		docs, err := readFolder(e.args[0])
+		if err != nil {
+			return usage("%v", err)
+		}
+		n = len(docs)
+		found = checkTree(shuntconfig.NewTree().With(docs...))
+	} else if _, err := readSettings(e.args[0]); err != nil {
+		found = []finding{{e.args[0], err.Error()}}
+	}
+	if asJSON {
+		if err := printJSON(e.out, struct{ Findings []finding }{found}); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range found {
+			fmt.Fprintln(e.out, f.Problem)
+		}
+	}
+	if len(found) > 0 {
+		return failed("%d of %d documents are wrong", len(found), n)
+	}
+	if !asJSON {
+		fmt.Fprintf(e.out, "%d documents, all right\n", n)
+	}
+	return nil
+}
+
+func checkTree(t *shuntconfig.Tree) []finding {
+	var out []finding
+	for _, k := range sortedKeys(t.Refusals()) {
+		out = append(out, finding{string(k), t.Refusals()[k].Err.Error()})
+	}
+	for _, w := range t.Workspaces() {
+		if err := t.Problem(w); err != nil {
+			out = append(out, finding{"Workspace/" + w, err.Error()})
+		}
+	}
+	return out
+}
+
+// readFolder reads the documents below a folder, each as version 1.
+func readFolder(folder string) ([]shuntconfig.Document, error) {
+	var out []shuntconfig.Document
+	err := filepath.WalkDir(folder, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, documentSuffix) {
+			return err
+		}
+		body, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		rel, err := filepath.Rel(folder, path)
+		if err != nil {
+			return err
+		}
+		k := shuntconfig.Key(strings.TrimSuffix(filepath.ToSlash(rel), documentSuffix))
+		out = append(out, shuntconfig.Document{Key: k, Version: 1, Body: body})
+		return nil
+	})
+	if err == nil && len(out) == 0 {
+		err = fmt.Errorf("%s has no %s files", folder, documentSuffix)
+	}
+	return out, err
+}
+
+func renderCommand() command {
+	return command{
+		name: "render",
+		args: "FOLDER WORKSPACE",
+		text: "show a workspace as it will be in force: its template with the parameters filled in",
+		flags: func(fs *flag.FlagSet) func(*env) error {
+			asJSON := fs.Bool("json", false, "print JSON")
+			return func(e *env) error { return runRender(e, *asJSON) }
+		},
+	}
+}
+
+func runRender(e *env, asJSON bool) error {
+	if len(e.args) != 2 {
+		return usage("give a folder and the name of a workspace")
+	}
+	docs, err := readFolder(e.args[0])
+	if err != nil {
+		return usage("%v", err)
+	}
+	t := shuntconfig.NewTree().With(docs...)
+	w, err := t.Render(e.args[1])
+	if err != nil {
+		return failed("%v", err)
+	}
+	if asJSON {
+		return printJSON(e.out, encodeWorkspace(w))
+	}
+	_, err = fmt.Fprint(e.out, shuntconfig.RenderTOML(w))
+	return err
+}
+
+// wireWorkspace is a workspace in JSON.
+type wireWorkspace struct {
+	Name, Template, Class, Canary               string
+	Services                                    []string
+	DeadlineMilliseconds                        int64
+	WaitForAll                                  bool
+	MinimumCoverage                             float64
+	HedgeQuantile, HedgeFraction, RetryFraction float64
+	MaximumConcurrent                           int
+}
+
+func encodeWorkspace(w shuntconfig.Workspace) wireWorkspace {
+	return wireWorkspace{
+		Name:                 w.Name,
+		Template:             w.Template,
+		Class:                w.Class.String(),
+		Canary:               w.Canary.String(),
+		Services:             w.Services,
+		DeadlineMilliseconds: w.Deadline.Milliseconds(),
+		WaitForAll:           w.WaitForAll,
+		MinimumCoverage:      w.MinimumCoverage,
+		HedgeQuantile:        w.HedgeQuantile,
+		HedgeFraction:        w.HedgeFraction,
+		RetryFraction:        w.RetryFraction,
+		MaximumConcurrent:    w.MaximumConcurrent,
+	}
+}
--- /dev/null
+++ b/shuntcommand/daemon.go
@@ -0,0 +1,71 @@
+package shuntcommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntdaemon"
+)
+
+const defaultDrain = time.Minute
+
+// Daemon runs mulberryshuntd and returns its exit code. SIGTERM and SIGINT end
+// it gracefully; a second one ends it at once.
+func Daemon(args []string, errOut io.Writer) int {
+	fs := flag.NewFlagSet("mulberryshuntd", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	file := fs.String("settings", "", "the VM's settings file, TOML (required)")
+	drain := fs.Duration("drain", defaultDrain, "the longest that a graceful end may take")
+	klog.InitFlags(fs)
+	switch err := fs.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case err != nil:
+		return ExitUsage
+	}
+	defer klog.Flush()
+	s, err := readSettings(*file)
+	if err != nil {
+		fmt.Fprintf(errOut, "mulberryshuntd: %v\n", err)
+		return ExitUsage
+	}
+	d := shuntdaemon.New(shuntdaemon.Config{Settings: s})
+	if err := d.Start(); err != nil {
+		fmt.Fprintf(errOut, "mulberryshuntd: %v\n", err)
+		return ExitFailed
+	}
+	waitAndDrain(d, *drain)
+	return ExitOK
+}
+
+func readSettings(file string) (shuntconfig.Settings, error) {
+	if file == "" {
+		return shuntconfig.Settings{}, errors.New("-settings: no file given")
+	}
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return shuntconfig.Settings{}, errors.Annotate(err, "-settings")
+	}
+	return shuntconfig.DecodeSettings(file, body)
+}
+
+func waitAndDrain(d *shuntdaemon.Daemon, limit time.Duration) {
+	first, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	<-first.Done()
+	stop()
+	second, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(second, limit)
+	defer cancel()
+	d.Shutdown(ctx)
+}
--- /dev/null
+++ b/shuntdaemon/daemon.go
@@ -0,0 +1,368 @@
+// Package shuntdaemon puts the parts of one VM together: the callers', peers'
+// and operators' listeners, the fleet, the owner and the coordinator, from a
+// start to a graceful end.
+package shuntdaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntclaim"
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntentry"
+	"mulberryshunt.example/mulberryshunt/shuntfleet"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+	"mulberryshunt.example/mulberryshunt/shuntoperator"
+	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shuntpeer"
+	"mulberryshunt.example/mulberryshunt/shuntplatform"
+	"mulberryshunt.example/mulberryshunt/shuntquery"
+)
+
+const (
+	headerTimeout    = 5 * time.Second
+	callerIdle       = 60 * time.Second
+	maxHeaderBytes   = 16 << 10
+	writeTimeout     = time.Hour + time.Minute
+	operatorTimeout  = 30 * time.Second
+	drainPoll        = 20 * time.Millisecond
+	shutdownTimeout  = 10 * time.Second
+	handoverPatience = 5 * time.Second
+)
+
+// Config is what a Daemon is made of.
+type Config struct {
+	Settings shuntconfig.Settings
+	// Reader reads the platform; nil takes the one at Settings.PlatformAddress.
+	Reader shuntplatform.Reader
+	// Connector opens connections to backend servers; nil takes TCP.
+	Connector shuntowner.Connector
+	// Dial opens connections to other VMs; nil takes TCP.
+	Dial shuntpeer.Dialer
+	// Caller, when not nil, takes the place of the connections to other VMs,
+	// and the daemon then listens nowhere. For tests in virtual time.
+	Caller Caller
+	// OwnerPolicy, QueryPolicy and Admission vary the decisions for experiments.
+	OwnerPolicy shuntowner.Policy
+	QueryPolicy shuntquery.Policy
+	Admission   shuntentry.AdmissionConfig
+}
+
+// Caller calls other daemons.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Daemon is one VM's part of the system.
+type Daemon struct {
+	config      Config
+	start       string
+	metrics     *metrics.Set
+	guard       *shuntguard.Guard
+	runner      *shuntfleet.Runner
+	sync        *shuntfleet.Sync
+	router      *shuntfleet.Router
+	owner       *shuntowner.Owner
+	ownerCalls  *shuntowner.Service
+	client      *shuntowner.Client
+	coordinator *shuntquery.Coordinator
+	front       *shuntentry.Front
+	pool        *shuntpeer.Pool
+
+	group  sync.WaitGroup
+	cancel context.CancelFunc
+	ends   []func(context.Context)
+}
+
+// New returns a Daemon that does nothing yet.
+func New(c Config) *Daemon {
+	d := &Daemon{config: c, start: shuntclaim.NewStart(), metrics: metrics.NewSet()}
+	if d.config.Dial == nil {
+		d.config.Dial = shuntpeer.DialTCP
+	}
+	if d.config.Reader == nil {
+		d.config.Reader = shuntplatform.NewClient(c.Settings.PlatformAddress)
+	}
+	if d.config.Connector == nil {
+		d.config.Connector = shuntowner.HTTPConnector{Dial: shuntpeer.DialTCP}
+	}
+	if d.config.Caller == nil {
+		d.pool = shuntpeer.NewPool(shuntpeer.PoolConfig{Key: []byte(c.Settings.PeerKey), Dial: d.config.Dial})
+		d.config.Caller = d.pool
+	}
+	d.guard = shuntguard.New(d.metrics)
+	d.makeFleet()
+	d.makePath()
+	return d
+}
+
+func (d *Daemon) makeFleet() {
+	s := d.config.Settings
+	m := shuntfleet.NewMetrics(d.metrics)
+	d.runner = shuntfleet.NewRunner(shuntfleet.RunnerConfig{
+		Control: shuntfleet.ControlConfig{
+			VM:    s.Name,
+			Start: d.start,
+			Cell:  s.Cell,
+			Idle:  func(server string) bool { return d.owner.Idle(server) },
+			Load:  d.load,
+			Guard: d.guard,
+		},
+		Caller:  d.config.Caller,
+		Metrics: m,
+		OnTree: func(t *shuntconfig.Tree) {
+			d.owner.SetTree(t)
+			d.coordinator.SetTree(t)
+		},
+	})
+	d.sync = shuntfleet.NewSync(shuntfleet.SyncConfig{
+		Reader:  d.config.Reader,
+		Runner:  d.runner,
+		Seeds:   s.PeerAddresses,
+		Metrics: m,
+	})
+	d.router = shuntfleet.NewRouter(d.runner.View)
+}
+
+// load returns the number of queries that the VM works on. The fleet is made
+// before the front, and asks at once.
+func (d *Daemon) load() int {
+	if d.front == nil {
+		return 0
+	}
+	return d.front.Load()
+}
+
+func (d *Daemon) makePath() {
+	s := d.config.Settings
+	d.owner = shuntowner.NewOwner(shuntowner.OwnerConfig{
+		Connector: d.config.Connector,
+		Leases:    leases{d.runner},
+		Metrics:   shuntowner.NewMetrics(d.metrics),
+		Policy:    d.config.OwnerPolicy,
+	})
+	d.ownerCalls = shuntowner.NewService(d.owner)
+	d.client = shuntowner.NewClient(shuntowner.ClientConfig{
+		Caller:  d.config.Caller,
+		Self:    s.Name + "." + d.start,
+		Address: d.peerAddress,
+		Local:   d.owner,
+		LocalVM: s.Name,
+	})
+	d.coordinator = shuntquery.NewCoordinator(shuntquery.CoordinatorConfig{
+		Sender:  d.client,
+		Router:  d.router,
+		Guard:   d.guard,
+		Metrics: shuntquery.NewMetrics(d.metrics),
+		Policy:  d.config.QueryPolicy,
+	})
+	d.front = shuntentry.NewFront(shuntentry.Config{
+		VM:        s.Name,
+		Start:     d.start,
+		View:      d.runner.View,
+		Runner:    d.coordinator,
+		Caller:    d.config.Caller,
+		Metrics:   d.metrics,
+		Admission: d.config.Admission,
+	})
+}
+
+// leases reads the published view for the gates.
+type leases struct{ runner *shuntfleet.Runner }
+
+// Lease implements shuntowner.Leases.
+func (l leases) Lease(server string, now time.Time) shuntowner.LeaseState {
+	return l.runner.View().Lease(server, now)
+}
+
+func (d *Daemon) peerAddress(vm string) (string, bool) {
+	v, ok := d.runner.View().Tree.Fleet().VM(vm)
+	return v.PeerAddress, ok
+}
+
+// Front returns what answers callers.
+func (d *Daemon) Front() *shuntentry.Front { return d.front }
+
+// View returns the fleet as this VM sees it.
+func (d *Daemon) View() *shuntfleet.View { return d.runner.View() }
+
+// Owner returns the VM's gates.
+func (d *Daemon) Owner() *shuntowner.Owner { return d.owner }
+
+// Metrics returns the VM's counters.
+func (d *Daemon) Metrics() *metrics.Set { return d.metrics }
+
+// Name returns the VM's name.
+func (d *Daemon) Name() string { return d.config.Settings.Name }
+
+// Receivers returns the net/rpc receivers that other VMs call.
+func (d *Daemon) Receivers() map[string]any {
+	return map[string]any{
+		shuntfleet.ServiceName: shuntfleet.NewService(d.runner),
+		shuntowner.ServiceName: d.ownerCalls,
+		shuntentry.ServiceName: entryCalls{d.front},
+	}
+}
+
+// entryCalls holds the one method of the Front that other VMs may call.
+type entryCalls struct{ front *shuntentry.Front }
+
+// Forward answers a request that another VM passed on.
+func (e entryCalls) Forward(a shuntentry.ForwardArgs, reply *shuntentry.ForwardReply) error {
+	return e.front.Forward(a, reply)
+}
+
+// StartFleet starts what needs no listener.
+func (d *Daemon) StartFleet() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.group.Go(func() { d.runner.Run(ctx) })
+	d.group.Go(func() { d.sync.Run(ctx) })
+}
+
+// Start listens and starts everything. It returns once all listeners are open.
+func (d *Daemon) Start() error {
+	s := d.config.Settings
+	listeners, err := listenAll(s.PeerListen, s.OperatorListen, s.CallerListen)
+	if err != nil {
+		return err
+	}
+	peers, err := shuntpeer.NewServer(shuntpeer.ServerConfig{Key: []byte(s.PeerKey), Receivers: d.Receivers()})
+	if err != nil {
+		return errors.Annotate(err, "peer calls")
+	}
+	d.StartFleet()
+	d.servePeers(peers, listeners[0])
+	d.serveHTTP("operators", listeners[1], &http.Server{
+		Handler:           d.OperatorHandler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       operatorTimeout,
+		WriteTimeout:      operatorTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	})
+	d.serveHTTP("callers", listeners[2], &http.Server{
+		Handler:           d.front.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       operatorTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	})
+	klog.InfoS("VM started", "vm", s.Name, "zone", s.Zone, "callers", s.CallerListen, "peers", s.PeerListen, "operators", s.OperatorListen)
+	return nil
+}
+
+// OperatorHandler returns the operators' HTTP interface.
+func (d *Daemon) OperatorHandler() http.Handler {
+	return shuntoperator.NewHandler(shuntoperator.HandlerConfig{
+		Sources: shuntoperator.Sources{View: d.runner.View, Gates: d.owner.States, Limits: d.front.Limits},
+		Explain: d.front.Explain,
+		Metrics: d.metrics,
+	})
+}
+
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	out := make([]net.Listener, 0, len(addresses))
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, o := range out {
+				_ = o.Close()
+			}
+			return nil, errors.Annotatef(err, "listen on %s", a)
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+func (d *Daemon) servePeers(s *shuntpeer.Server, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.ends = append(d.ends, func(context.Context) { cancel() })
+	d.group.Go(func() {
+		if err := s.Serve(ctx, l); err != nil {
+			klog.ErrorS(err, "Peers are no longer served")
+		}
+	})
+}
+
+func (d *Daemon) serveHTTP(what string, l net.Listener, s *http.Server) {
+	d.ends = append(d.ends, func(ctx context.Context) {
+		if err := s.Shutdown(ctx); err != nil {
+			_ = s.Close()
+		}
+	})
+	d.group.Go(func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "Listener failed", "for", what)
+		}
+	})
+}
+
+// Shutdown leaves the fleet without cutting a request: it announces that the
+// VM leaves, goes on for as long as callers may still hold its address, hands
+// its servers over, refuses new work, waits for all that runs, and stops. ctx
+// bounds the wait.
+func (d *Daemon) Shutdown(ctx context.Context) {
+	klog.InfoS("VM is leaving", "vm", d.Name())
+	d.runner.Leave()
+	pause(ctx, shuntentry.MaxAge+shuntentry.LeaveMargin)
+	d.front.Refuse()
+	d.waitFor(ctx, func() bool { return d.front.Load() == 0 })
+	bounded, cancel := context.WithTimeout(ctx, handoverPatience)
+	defer cancel()
+	d.waitFor(bounded, func() bool { return !d.holdsLeases() && d.owner.InFlight() == 0 })
+	d.Stop()
+	klog.InfoS("VM has left", "vm", d.Name())
+}
+
+// holdsLeases says whether the VM still owns backend servers. When no other VM
+// can take them, they are simply let go at the end.
+func (d *Daemon) holdsLeases() bool {
+	for _, l := range d.runner.View().Leases() {
+		if l.Held {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) waitFor(ctx context.Context, done func() bool) {
+	for !done() && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+}
+
+// Stop ends everything at once, as a crash would for the others.
+func (d *Daemon) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	// The callers' listener was opened last and is closed first.
+	for i := len(d.ends) - 1; i >= 0; i-- {
+		d.ends[i](ctx)
+	}
+	d.cancel()
+	d.owner.Close()
+	if d.pool != nil {
+		d.pool.Close()
+	}
+	d.client.Wait()
+	d.owner.Wait()
+	d.group.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/shuntdemo/standins.go
@@ -0,0 +1,169 @@
+package shuntdemo
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntfake"
+)
+
+const (
+	loopback      = "127.0.0.1:0"
+	demoKey       = "demonstration-key-of-one-process"
+	demoCell      = "cell-1"
+	portsPerVM    = 3
+	standinHeader = time.Second
+	demoTailShare = 0.005
+)
+
+// StandinsConfig is what Standins are made of.
+type StandinsConfig struct {
+	Estate shuntfake.Estate
+	Seed   uint64
+	// Listen is where the platform listens.
+	Listen string
+}
+
+// Standins are a platform and the backend servers of an estate, on loopback.
+type Standins struct {
+	Estate   shuntfake.Estate
+	Platform *shuntfake.Platform
+	Log      *shuntfake.Log
+	Backends map[string]*shuntfake.Backend
+	// PlatformAddress is where the platform listens.
+	PlatformAddress string
+
+	services []shuntconfig.Service
+	fleet    shuntconfig.Fleet
+	servers  []*http.Server
+	group    sync.WaitGroup
+}
+
+// StartStandins starts stand-ins and publishes all documents but the fleet's.
+func StartStandins(c StandinsConfig) (*Standins, error) {
+	s := &Standins{Estate: c.Estate, Platform: shuntfake.NewPlatform(), Log: shuntfake.NewLog(), Backends: map[string]*shuntfake.Backend{}}
+	var err error
+	platform := &http.Server{Handler: s.Platform.Handler(), ReadHeaderTimeout: standinHeader}
+	if s.PlatformAddress, err = s.serve(platform, c.Listen); err != nil {
+		return nil, err
+	}
+	return s, s.startBackends(c.Seed)
+}
+
+// serve serves v at listen and returns the address.
+func (s *Standins) serve(v *http.Server, listen string) (string, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	s.servers = append(s.servers, v)
+	s.group.Go(func() { _ = v.Serve(l) })
+	return l.Addr().String(), nil
+}
+
+func (s *Standins) startBackends(seed uint64) error {
+	// Addresses are known only once the servers listen, so the services are
+	// made twice: with placeholders first.
+	addresses := map[string]string{}
+	for _, p := range shuntfake.Places(s.Estate.Services(func(string) string { return loopback })) {
+		seed++
+		b := shuntfake.NewBackend(shuntfake.BackendConfig{
+			Place:     p,
+			Log:       s.Log,
+			Seed:      seed,
+			Service:   s.Estate.Shape(p.Service).Service,
+			TailShare: demoTailShare,
+		})
+		b.SetSnapshots(shuntfake.FirstSnapshot)
+		var err error
+		if addresses[p.ID()], err = s.serve(b.HTTPServer(), loopback); err != nil {
+			return err
+		}
+		s.Backends[p.ID()] = b
+	}
+	s.services = s.Estate.Services(func(id string) string { return addresses[id] })
+	s.Estate.Publish(s.Platform, s.services)
+	return nil
+}
+
+// NewFleet returns a fleet of n VMs, spread over the zones; address gives the
+// addresses of their listeners by number.
+func (s *Standins) NewFleet(n int, address func(i int) string) shuntconfig.Fleet {
+	f := shuntconfig.Fleet{Zones: s.Estate.Zones}
+	for i := range n {
+		f.VMs = append(f.VMs, shuntconfig.VM{
+			Name:            fmt.Sprintf("vm-%d", i+1),
+			Zone:            s.Estate.Zones[i%len(s.Estate.Zones)].Name,
+			Cell:            demoCell,
+			InService:       true,
+			CallerAddress:   address(portsPerVM * i),
+			PeerAddress:     address(portsPerVM*i + 1),
+			OperatorAddress: address(portsPerVM*i + 2),
+		})
+	}
+	return f
+}
+
+// Settings returns the settings of a VM of the fleet.
+func (s *Standins) Settings(v shuntconfig.VM) shuntconfig.Settings {
+	out := shuntconfig.Settings{
+		Name:            v.Name,
+		Zone:            v.Zone,
+		Cell:            v.Cell,
+		CallerListen:    v.CallerAddress,
+		PeerListen:      v.PeerAddress,
+		OperatorListen:  v.OperatorAddress,
+		PlatformAddress: s.PlatformAddress,
+		PeerKey:         demoKey,
+	}
+	for _, o := range s.fleet.VMs {
+		if o.Name != v.Name {
+			out.PeerAddresses = append(out.PeerAddresses, o.PeerAddress)
+		}
+	}
+	return out
+}
+
+// PublishFleet publishes a Fleet document and books which servers are out.
+func (s *Standins) PublishFleet(f shuntconfig.Fleet) {
+	s.fleet = f
+	now := time.Now()
+	for id, b := range s.Backends {
+		s.Log.Close(id, f.ZoneInService(b.Zone()), now)
+	}
+	s.Platform.Publish(shuntconfig.FleetKey, shuntconfig.EncodeFleet(f))
+}
+
+// Fleet returns the fleet as published last.
+func (s *Standins) Fleet() shuntconfig.Fleet { return s.fleet }
+
+// PublishSnapshot loads a snapshot into all backend servers beside those that
+// they hold, and publishes it with the shard map of the first one.
+func (s *Standins) PublishSnapshot(id shuntconfig.SnapshotID, old ...shuntconfig.SnapshotID) {
+	for _, b := range s.Backends {
+		b.SetSnapshots(append([]shuntconfig.SnapshotID{id}, old...)...)
+	}
+	for i, v := range s.services {
+		shards := v.Snapshots[0].Shards
+		ss := []shuntconfig.Snapshot{{ID: id, Shards: shards}}
+		for _, o := range old {
+			ss = append(ss, shuntconfig.Snapshot{ID: o, Shards: shards})
+		}
+		s.services[i] = v.WithSnapshots(ss...)
+		s.Platform.Publish(shuntconfig.MakeKey(shuntconfig.KindService, v.Name), shuntconfig.EncodeService(s.services[i]))
+	}
+}
+
+// Close ends the stand-ins.
+func (s *Standins) Close() {
+	for _, v := range s.servers {
+		_ = v.Close()
+	}
+	s.group.Wait()
+}
--- /dev/null
+++ b/shuntentry/service.go
@@ -0,0 +1,276 @@
+package shuntentry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntclaim"
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntfleet"
+	"mulberryshunt.example/mulberryshunt/shuntoutcome"
+	"mulberryshunt.example/mulberryshunt/shuntquery"
+)
+
+// Names of the entry's calls between daemons.
+const (
+	ServiceName   = "Entry"
+	MethodForward = ServiceName + ".Forward"
+)
+
+const (
+	// explained is how many answers are kept for explain.
+	explained = 512
+	// forwardMargin is kept from the deadline for the way back.
+	forwardMargin = 5 * time.Millisecond
+	// maxQueries bounds the queries of one VM, and with them its memory.
+	maxQueries = 4096
+)
+
+// Runner answers queries; *shuntquery.Coordinator implements it.
+type Runner interface {
+	Run(ctx context.Context, t *shuntconfig.Tree, q shuntquery.Query) shuntquery.Answer
+}
+
+// Caller calls other daemons.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Config is what a Front is made of.
+type Config struct {
+	VM        string
+	Start     string
+	View      func() *shuntfleet.View
+	Runner    Runner
+	Caller    Caller
+	Metrics   *metrics.Set
+	Admission AdmissionConfig
+}
+
+// Front takes callers' requests, whatever they come by.
+type Front struct {
+	config  Config
+	book    *shuntclaim.Book[shuntquery.Answer]
+	metrics *Metrics
+
+	// refusing is set once the VM takes no new work.
+	refusing atomic.Bool
+	running  atomic.Int64
+	group    sync.WaitGroup
+
+	mu         sync.Mutex
+	admissions map[string]*Admission
+	recent     map[string]shuntquery.Answer
+	order      []string
+}
+
+// NewFront returns a Front.
+func NewFront(c Config) *Front {
+	return &Front{
+		config:     c,
+		book:       shuntclaim.NewBook[shuntquery.Answer](shuntclaim.Config{VM: c.VM, Start: c.Start}),
+		metrics:    NewMetrics(c.Metrics),
+		admissions: map[string]*Admission{},
+		recent:     map[string]shuntquery.Answer{},
+	}
+}
+
+// Load returns the number of queries that the VM works on.
+func (f *Front) Load() int { return int(f.running.Load()) }
+
+// Refuse makes the Front refuse new work from now on.
+func (f *Front) Refuse() { f.refusing.Store(true) }
+
+// Tickets returns n tickets of this VM.
+func (f *Front) Tickets(n int) []string {
+	ts := f.book.Issue(n)
+	out := make([]string, len(ts))
+	for i, t := range ts {
+		out[i] = t.String()
+	}
+	return out
+}
+
+// Ask answers a caller's request. A wait of 0 takes the workspace's deadline.
+func (f *Front) Ask(ctx context.Context, workspace, id string, r Request, wait time.Duration) shuntquery.Answer {
+	began := time.Now()
+	a := f.ask(ctx, workspace, id, r, wait)
+	f.metrics.answered(workspace, a, time.Since(began))
+	f.remember(a)
+	klog.V(1).InfoS("Query answered", "query", id, "workspace", workspace, "outcome", a.Outcome, "reason", a.Reason,
+		"answered", a.Answered, "total", a.Total, "sent", a.Sent, "took", time.Since(began))
+	return a
+}
+
+func (f *Front) ask(ctx context.Context, workspace, id string, r Request, wait time.Duration) shuntquery.Answer {
+	q := shuntquery.Query{ID: id, Workspace: workspace, Body: []byte(r.Query), Idempotent: r.Idempotent, Limit: r.Limit}
+	v := f.config.View()
+	p := v.Tree.Plan(workspace)
+	if p == nil {
+		return shuntquery.Refuse(q, shuntoutcome.NoWorkspace)
+	}
+	if wait <= 0 || wait > p.Workspace.Deadline {
+		wait = p.Workspace.Deadline
+	}
+	q.Deadline = time.Now().Add(wait)
+	if r.Idempotent {
+		return f.admit(ctx, v, p.Workspace, q)
+	}
+	if r.Ticket == "" {
+		return shuntquery.Refuse(q, shuntoutcome.NoTicket)
+	}
+	t, ok := shuntclaim.ParseTicket(r.Ticket)
+	if !ok {
+		return shuntquery.Refuse(q, shuntoutcome.BadTicket)
+	}
+	if !f.book.Home(t) {
+		return f.forward(ctx, v, q, t)
+	}
+	return f.once(ctx, v, p.Workspace, q, t)
+}
+
+// admit runs q if the VM takes work now.
+func (f *Front) admit(ctx context.Context, v *shuntfleet.View, w shuntconfig.Workspace, q shuntquery.Query) shuntquery.Answer {
+	// Counting comes before the look at refusing, so that a shutdown that
+	// finds no query running has refused all that come later.
+	n := f.running.Add(1)
+	defer f.running.Add(-1)
+	switch {
+	case f.refusing.Load():
+		return shuntquery.Refuse(q, shuntoutcome.ShuttingDown)
+	case v.Isolated, !v.Self.Ready:
+		return shuntquery.Refuse(q, shuntoutcome.Isolated)
+	case n > maxQueries:
+		return shuntquery.Refuse(q, shuntoutcome.Overloaded)
+	}
+	a := f.admission(w.Name)
+	if why := a.Enter(ctx, w, q.Deadline); why != shuntoutcome.None {
+		klog.V(1).InfoS("Query not admitted", "query", q.ID, "workspace", w.Name, "reason", why, "limit", a.Limit())
+		out := shuntquery.Refuse(q, why)
+		out.RetryAfter = a.RetryAfter()
+		return out
+	}
+	out := f.config.Runner.Run(ctx, v.Tree, q)
+	a.Leave(VerdictOf(out.Outcome, out.Reason), time.Now())
+	return out
+}
+
+func (f *Front) admission(workspace string) *Admission {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.admissions[workspace]
+	if !ok {
+		a = NewAdmission(f.config.Admission)
+		f.admissions[workspace] = a
+	}
+	return a
+}
+
+// once runs a non-idempotent request under its ticket, or answers a repeat
+// with what was recorded.
+func (f *Front) once(ctx context.Context, v *shuntfleet.View, w shuntconfig.Workspace, q shuntquery.Query, t shuntclaim.Ticket) shuntquery.Answer {
+	c, mine, why := f.book.Claim(t, shuntquery.Fingerprint(q))
+	switch {
+	case why == shuntoutcome.TicketExpired:
+		// The claim may have been taken and dropped since.
+		return shuntquery.Answer{ID: q.ID, Outcome: shuntoutcome.Unknown, Reason: why}
+	case why != shuntoutcome.None:
+		return shuntquery.Refuse(q, why)
+	case mine:
+		// The run outlives its caller: a caller that goes away and asks
+		// again is answered with what became of it.
+		a := f.admit(context.WithoutCancel(ctx), v, w, q)
+		f.book.Record(c, a)
+		return a
+	}
+	f.metrics.Repeats.Inc()
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	select {
+	case <-c.Done():
+		a := c.Answer()
+		a.ID = q.ID
+		return a
+	case <-ctx.Done():
+		return shuntquery.Answer{ID: q.ID, Outcome: shuntoutcome.Unknown, Reason: shuntoutcome.DeadlinePassed}
+	}
+}
+
+// forward passes a request to the VM that made its ticket. Whatever keeps the
+// answer away, the request may have run there, now or before.
+func (f *Front) forward(ctx context.Context, v *shuntfleet.View, q shuntquery.Query, t shuntclaim.Ticket) shuntquery.Answer {
+	unknown := shuntquery.Answer{ID: q.ID, Outcome: shuntoutcome.Unknown, Reason: shuntoutcome.HomeGone}
+	vm, ok := v.Tree.Fleet().VM(t.VM)
+	if !ok || t.VM == f.config.VM {
+		return unknown
+	}
+	f.metrics.Forwards.Inc()
+	klog.V(1).InfoS("Request forwarded to its ticket's VM", "query", q.ID, "vm", t.VM)
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	var reply ForwardReply
+	err := f.config.Caller.Call(ctx, vm.PeerAddress, MethodForward, ForwardArgs{
+		Workspace: q.Workspace,
+		RequestID: q.ID,
+		Query:     string(q.Body),
+		Ticket:    t.String(),
+		Limit:     q.Limit,
+		Left:      time.Until(q.Deadline) - forwardMargin,
+	}, &reply)
+	if err != nil {
+		return unknown
+	}
+	return reply.Answer
+}
+
+// Forward answers a request that another VM passed on.
+func (f *Front) Forward(a ForwardArgs, reply *ForwardReply) error {
+	r := Request{Query: a.Query, Ticket: a.Ticket, Limit: a.Limit}
+	t, ok := shuntclaim.ParseTicket(a.Ticket)
+	if !ok || !f.book.Home(t) {
+		// A further hop could never end; the process that made it is gone.
+		reply.Answer = shuntquery.Answer{ID: a.RequestID, Outcome: shuntoutcome.Unknown, Reason: shuntoutcome.HomeGone}
+		return nil
+	}
+	reply.Answer = f.Ask(context.Background(), a.Workspace, a.RequestID, r, a.Left)
+	return nil
+}
+
+// remember keeps an answer's route for explain.
+func (f *Front) remember(a shuntquery.Answer) {
+	a.Rows = nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.recent[a.ID]; !ok {
+		f.order = append(f.order, a.ID)
+	}
+	f.recent[a.ID] = a
+	if len(f.order) > explained {
+		delete(f.recent, f.order[0])
+		f.order = f.order[1:]
+	}
+}
+
+// Explain returns an answer given lately, without its rows.
+func (f *Front) Explain(id string) (shuntquery.Answer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, ok := f.recent[id]
+	return a, ok
+}
+
+// Limits returns the admission limit of each workspace that was asked for.
+func (f *Front) Limits() map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]float64, len(f.admissions))
+	for n, a := range f.admissions {
+		out[n] = a.Limit()
+	}
+	return out
+}
--- /dev/null
+++ b/shuntfake/estate.go
@@ -0,0 +1,263 @@
+package shuntfake
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntquery"
+)
+
+// WorkspaceShape is the size of one workspace.
+type WorkspaceShape struct {
+	Name        string
+	Template    string
+	Services    int
+	Replicas    int
+	Slots       int
+	Connections int
+	// Setup is the time that a new connection takes.
+	Setup time.Duration
+	// Service is the mean time of one request.
+	Service time.Duration
+}
+
+// Estate is what one user has: zones, workspaces, VMs, and the distances.
+type Estate struct {
+	Name       string
+	Zones      []shuntconfig.Zone
+	Workspaces []WorkspaceShape
+	VMs        int
+	// ZoneDelay and RegionDelay are one-way delays between zones of one
+	// region and between regions; ClientDelay is that to callers.
+	ZoneDelay   time.Duration
+	RegionDelay time.Duration
+	ClientDelay time.Duration
+}
+
+const (
+	searchTime = 8 * time.Millisecond
+	ledgerTime = 15 * time.Millisecond
+	slowSetup  = 6 * time.Millisecond
+	fastSetup  = time.Millisecond
+	localDelay = 100 * time.Microsecond
+)
+
+// Cooperative returns the estate of the floorcloth co-operative.
+func Cooperative() Estate {
+	return Estate{
+		Name: "cooperative",
+		Zones: []shuntconfig.Zone{
+			{Name: "saga-imari", Region: "saga", InService: true},
+			{Name: "kumamoto-uto", Region: "kumamoto", InService: true},
+			{Name: "fukuoka-hakata", Region: "fukuoka", InService: true},
+		},
+		Workspaces: []WorkspaceShape{
+			{"showroom", "counter", 20, 2, 2, 25, slowSetup, searchTime},
+			{"newsletter", "browse", 30, 2, 2, 25, slowSetup, searchTime},
+			{"dispatch", "counter", 1, 7, 3, 100, fastSetup, searchTime},
+			{"ledger", "overnight", 1, 3, 3, 100, fastSetup, ledgerTime},
+		},
+		VMs:         6,
+		ZoneDelay:   time.Millisecond,
+		RegionDelay: 8 * time.Millisecond,
+		ClientDelay: 3 * time.Millisecond,
+	}
+}
+
+// Franchise returns the estate of the futon care franchise office.
+func Franchise() Estate {
+	return Estate{
+		Name: "franchise",
+		Zones: []shuntconfig.Zone{
+			{Name: "amman-west", Region: "amman", InService: true},
+			{Name: "irbid-north", Region: "irbid", InService: true},
+			{Name: "aqaba-port", Region: "aqaba", InService: true},
+		},
+		Workspaces: []WorkspaceShape{
+			{"counter-desk", "desk", 20, 2, 3, 30, slowSetup, searchTime},
+			{"price-board", "browse", 30, 2, 3, 30, slowSetup, searchTime},
+			{"ledger-run", "overnight", 1, 13, 4, 40, fastSetup, ledgerTime},
+			{"promo-mailer", "browse", 1, 6, 4, 40, fastSetup, ledgerTime},
+		},
+		VMs:         6,
+		ZoneDelay:   1500 * time.Microsecond,
+		RegionDelay: 12 * time.Millisecond,
+		ClientDelay: 3 * time.Millisecond,
+	}
+}
+
+// Estates returns the estates by name.
+func Estates() map[string]Estate {
+	out := map[string]Estate{}
+	for _, e := range []Estate{Cooperative(), Franchise()} {
+		out[e.Name] = e
+	}
+	return out
+}
+
+// Delay returns the one-way delay between two zones.
+func (e Estate) Delay(from, to string) time.Duration {
+	if from == to {
+		return localDelay
+	}
+	var a, b string
+	for _, z := range e.Zones {
+		if z.Name == from {
+			a = z.Region
+		}
+		if z.Name == to {
+			b = z.Region
+		}
+	}
+	if a == b {
+		return e.ZoneDelay
+	}
+	return e.RegionDelay
+}
+
+// Templates returns the published templates, by name.
+func Templates() map[string]string {
+	head := `[Parameters.Services]
+Type = "StringList"
+[Parameters.DeadlineMilliseconds]
+Type = "Integer"
+Min = 10
+Max = 60000
+Default = %d
+[Settings]
+Services = "${Services}"
+DeadlineMilliseconds = "${DeadlineMilliseconds}"
+`
+	return map[string]string{
+		"counter":   fmt.Sprintf(head, 340) + "Class = \"Interactive\"\nMinimumCoverage = 0.9\n",
+		"desk":      fmt.Sprintf(head, 340) + "Class = \"Interactive\"\nWaitForAll = true\nMinimumCoverage = 0.95\nRetryFraction = 0.2\n",
+		"overnight": fmt.Sprintf(head, 5000) + "Class = \"Batch\"\nWaitForAll = true\nMinimumCoverage = 1\nHedgeFraction = 0.02\nRetryFraction = 0.5\n",
+		"browse":    fmt.Sprintf(head, 340) + "Class = \"Browse\"\nHedgeFraction = 0.01\n",
+	}
+}
+
+// FirstSnapshot is the snapshot that an estate starts with.
+var FirstSnapshot = shuntconfig.SnapshotID{Version: 1, Generation: 1}
+
+// Services returns the published services of the estate. address gives the
+// address of a server; its zone is given by turns.
+func (e Estate) Services(address func(server string) string) []shuntconfig.Service {
+	var out []shuntconfig.Service
+	for _, w := range e.Workspaces {
+		for i := range w.Services {
+			out = append(out, e.service(w, i, address))
+		}
+	}
+	return out
+}
+
+func (e Estate) service(w WorkspaceShape, i int, address func(string) string) shuntconfig.Service {
+	name := serviceName(w, i)
+	s := shuntconfig.Service{
+		Name:             name,
+		Slots:            w.Slots,
+		Connections:      w.Connections,
+		ColdBears:        shuntconfig.DefaultColdBears,
+		WarmStepTime:     shuntconfig.DefaultWarmStepTime,
+		WarmStepRequests: shuntconfig.DefaultWarmStepRequests,
+	}
+	h := shuntconfig.Shard{Name: "all"}
+	for r := range w.Replicas {
+		n := fmt.Sprintf("r%d", r)
+		s.Servers = append(s.Servers, shuntconfig.Server{
+			Name:    n,
+			Address: address(shuntconfig.ServerID(name, n)),
+			Zone:    e.Zones[(i+r)%len(e.Zones)].Name,
+		})
+		h.Servers = append(h.Servers, n)
+	}
+	s.Snapshots = []shuntconfig.Snapshot{{ID: FirstSnapshot, Shards: []shuntconfig.Shard{h}}}
+	return s
+}
+
+// Places returns the places of all servers of the services, in order.
+func Places(services []shuntconfig.Service) []shuntconfig.ServerPlace {
+	var out []shuntconfig.ServerPlace
+	for _, s := range services {
+		for _, v := range s.Servers {
+			out = append(out, shuntconfig.NewServerPlace(s, v))
+		}
+	}
+	return out
+}
+
+func serviceName(w WorkspaceShape, i int) string {
+	if w.Services == 1 {
+		return w.Name
+	}
+	return fmt.Sprintf("%s-%02d", w.Name, i)
+}
+
+// Publish publishes templates, workspaces and services to p.
+func (e Estate) Publish(p *Platform, services []shuntconfig.Service) {
+	for n, t := range Templates() {
+		p.Publish(shuntconfig.MakeKey(shuntconfig.KindTemplate, n), []byte(t))
+	}
+	for _, s := range services {
+		p.Publish(shuntconfig.MakeKey(shuntconfig.KindService, s.Name), shuntconfig.EncodeService(s))
+	}
+	for _, w := range e.Workspaces {
+		names := make([]string, w.Services)
+		for i := range names {
+			names[i] = fmt.Sprintf("%q", serviceName(w, i))
+		}
+		body := fmt.Sprintf("Template = %q\n[Parameters]\nServices = [%s]\n", w.Template, strings.Join(names, ", "))
+		p.Publish(shuntconfig.MakeKey(shuntconfig.KindWorkspace, w.Name), []byte(body))
+	}
+}
+
+// Shape returns the workspace shape that a service belongs to.
+func (e Estate) Shape(service string) WorkspaceShape {
+	for _, w := range e.Workspaces {
+		for i := range w.Services {
+			if serviceName(w, i) == service {
+				return w
+			}
+		}
+	}
+	return WorkspaceShape{}
+}
+
+// CheckAnswer counts what is wrong with an answer to the query text, by its
+// rows and by what the servers ran. It must be called after the query's
+// deadline has passed everywhere, or for answers whose attempts have all ended.
+func (l *Log) CheckAnswer(outcome string, snapshot string, answered int, rows []shuntquery.Row, id, text string) {
+	shards := map[string]bool{}
+	for _, r := range rows {
+		shard, _, _ := strings.Cut(r.Key, ":")
+		shards[shard] = true
+		snap, rest, _ := strings.Cut(r.Text, "|")
+		body, _, _ := strings.Cut(rest, "|")
+		if snap != snapshot {
+			l.Violate(func(v *Violations) { v.MixedSnapshots++ }, "query %s: row of snapshot %s in an answer of %s", id, snap, snapshot)
+		}
+		if body != text {
+			l.Violate(func(v *Violations) { v.ForeignRows++ }, "query %s: row of %q", id, body)
+		}
+	}
+	if len(shards) != answered {
+		l.Violate(func(v *Violations) { v.FalseCoverage++ }, "query %s: rows of %d shards, %d stated", id, len(shards), answered)
+	}
+	if outcome == "NotRun" && len(l.Runs(id)) > 0 {
+		l.Violate(func(v *Violations) { v.FalseNotRun++ }, "query %s: answered NotRun, ran on %s", id, l.Runs(id)[0].Server)
+	}
+}
+
+// CheckOnce counts a violation when a non-idempotent request ran on a shard
+// more than once.
+func (l *Log) CheckOnce(id string) {
+	seen := map[string]string{}
+	for _, r := range l.Runs(id) {
+		if first, ok := seen[r.Shard]; ok {
+			l.Violate(func(v *Violations) { v.RanTwice++ }, "request %s ran on %s and on %s", id, first, r.Server)
+		}
+		seen[r.Shard] = r.Server
+	}
+}
--- /dev/null
+++ b/shuntfake/platform.go
@@ -0,0 +1,226 @@
+package shuntfake
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntplatform"
+)
+
+const maxWatchWait = 30 * time.Second
+
+// Platform is a stand-in for the platform's configuration service. It is
+// written by the test or demonstration, and read by the system.
+type Platform struct {
+	mu       sync.Mutex
+	revision int64
+	docs     map[shuntconfig.Key]stored
+	vms      []shuntplatform.VMStatus
+	changed  chan struct{}
+	down     bool
+	stale    map[shuntconfig.Key]shuntconfig.Document
+
+	calls atomic.Int64
+	bytes atomic.Int64
+}
+
+type stored struct {
+	doc      shuntconfig.Document
+	revision int64
+}
+
+// ErrDown is what a reader gets while the platform is down.
+var ErrDown = errors.New("platform is down")
+
+// NewPlatform returns an empty Platform.
+func NewPlatform() *Platform {
+	return &Platform{docs: map[shuntconfig.Key]stored{}, changed: make(chan struct{}), stale: map[shuntconfig.Key]shuntconfig.Document{}}
+}
+
+// Publish stores a new version of a document and returns the version.
+func (p *Platform) Publish(k shuntconfig.Key, body []byte) int64 {
+	return p.put(k, body, false)
+}
+
+// Delete removes a document and returns the version of the removal.
+func (p *Platform) Delete(k shuntconfig.Key) int64 {
+	return p.put(k, nil, true)
+}
+
+func (p *Platform) put(k shuntconfig.Key, body []byte, deleted bool) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	v := p.docs[k].doc.Version + 1
+	p.docs[k] = stored{shuntconfig.Document{Key: k, Version: v, Deleted: deleted, Body: body}, p.revision}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return v
+}
+
+// SetVMs sets the list of VMs.
+func (p *Platform) SetVMs(vms ...shuntplatform.VMStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = vms
+}
+
+// SetDown makes all calls fail, or work again. Waiting watches fail too.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetStale makes Get answer with d instead of the newest version of its key.
+func (p *Platform) SetStale(d shuntconfig.Document) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale[d.Key] = d
+}
+
+// Calls returns the number of calls so far; Bytes that of bytes sent.
+func (p *Platform) Calls() int64 { return p.calls.Load() }
+
+// Bytes returns the number of bytes of documents sent so far.
+func (p *Platform) Bytes() int64 { return p.bytes.Load() }
+
+// List implements shuntplatform.Reader.
+func (p *Platform) List(context.Context) (shuntplatform.Listing, error) {
+	p.calls.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return shuntplatform.Listing{}, ErrDown
+	}
+	return shuntplatform.Listing{Revision: p.revision, Keys: p.since(0)}, nil
+}
+
+func (p *Platform) since(revision int64) []shuntplatform.KeyVersion {
+	var out []shuntplatform.KeyVersion
+	for k, s := range p.docs {
+		if s.revision > revision {
+			out = append(out, shuntplatform.KeyVersion{Key: k, Version: s.doc.Version})
+		}
+	}
+	slices.SortFunc(out, func(a, b shuntplatform.KeyVersion) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	return out
+}
+
+// Get implements shuntplatform.Reader.
+func (p *Platform) Get(_ context.Context, k shuntconfig.Key) (shuntconfig.Document, error) {
+	p.calls.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return shuntconfig.Document{}, ErrDown
+	}
+	if d, ok := p.stale[k]; ok {
+		return d, nil
+	}
+	s, ok := p.docs[k]
+	if !ok {
+		return shuntconfig.Document{}, errors.NotFoundf("document %q", k)
+	}
+	p.bytes.Add(int64(len(s.doc.Body)))
+	return s.doc, nil
+}
+
+// Watch implements shuntplatform.Reader.
+func (p *Platform) Watch(ctx context.Context, revision int64) (shuntplatform.Change, error) {
+	p.calls.Add(1)
+	t := time.NewTimer(maxWatchWait)
+	defer t.Stop()
+	for {
+		p.mu.Lock()
+		down, now, keys, changed := p.down, p.revision, p.since(revision), p.changed
+		p.mu.Unlock()
+		switch {
+		case down:
+			return shuntplatform.Change{}, ErrDown
+		case len(keys) > 0:
+			return shuntplatform.Change{Revision: now, Keys: keys}, nil
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return shuntplatform.Change{Revision: now}, nil
+		case <-ctx.Done():
+			return shuntplatform.Change{}, ctx.Err()
+		}
+	}
+}
+
+// VMs implements shuntplatform.Reader.
+func (p *Platform) VMs(context.Context) ([]shuntplatform.VMStatus, error) {
+	p.calls.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return nil, ErrDown
+	}
+	return slices.Clone(p.vms), nil
+}
+
+// Handler returns the platform's HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+shuntplatform.PathKeys, func(w http.ResponseWriter, r *http.Request) {
+		l, err := p.List(r.Context())
+		answer(w, err, func() ([]byte, error) { return shuntplatform.EncodeListing(l.Revision, l.Keys) })
+	})
+	m.HandleFunc("GET "+shuntplatform.PathWatch, func(w http.ResponseWriter, r *http.Request) {
+		since, err := strconv.ParseInt(r.URL.Query().Get(shuntplatform.QueryRevision), 10, 64)
+		if err != nil {
+			http.Error(w, "Revision is not a number", http.StatusBadRequest)
+			return
+		}
+		c, err := p.Watch(r.Context(), since)
+		answer(w, err, func() ([]byte, error) { return shuntplatform.EncodeListing(c.Revision, c.Keys) })
+	})
+	m.HandleFunc("GET "+shuntplatform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		vms, err := p.VMs(r.Context())
+		answer(w, err, func() ([]byte, error) { return shuntplatform.EncodeVMs(vms) })
+	})
+	m.HandleFunc("GET "+shuntplatform.PathDocument+"{key...}", func(w http.ResponseWriter, r *http.Request) {
+		k, err := url.PathUnescape(r.PathValue("key"))
+		if err != nil {
+			http.Error(w, "key can't be read", http.StatusBadRequest)
+			return
+		}
+		d, err := p.Get(r.Context(), shuntconfig.Key(k))
+		w.Header().Set(shuntplatform.HeaderVersion, strconv.FormatInt(d.Version, 10))
+		w.Header().Set(shuntplatform.HeaderDeleted, strconv.FormatBool(d.Deleted))
+		answer(w, err, func() ([]byte, error) { return d.Body, nil })
+	})
+	return m
+}
+
+func answer(w http.ResponseWriter, err error, body func() ([]byte, error)) {
+	if errors.Is(err, errors.NotFound) {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	b, err := body()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/shuntfleet/view.go
@@ -0,0 +1,62 @@
+package shuntfleet
+
+import (
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntowner"
+)
+
+// View is what the control goroutine has published for all others. It never
+// changes; Control makes a new one.
+type View struct {
+	Tree      *shuntconfig.Tree
+	Placement *Placement
+	Self      Status
+	// Isolated: neither the platform nor any VM was heard lately.
+	Isolated bool
+	// InService: this VM and its zone are in service.
+	InService bool
+	Peers     []Peer
+	// leases holds what is known of the servers of this VM's cell.
+	leases map[string]shuntowner.LeaseState
+	voters int
+}
+
+// Peer is another VM as this one knows it.
+type Peer struct {
+	Name   string
+	Zone   string
+	Status Status
+	// Heard is when the last message came; zero when none did.
+	Heard time.Time
+	// Live: heard lately enough.
+	Live bool
+}
+
+// Lease implements shuntowner.Leases.
+func (v *View) Lease(server string, now time.Time) shuntowner.LeaseState {
+	s, ok := v.leases[server]
+	if !ok {
+		return shuntowner.LeaseState{Voters: max(1, v.voters)}
+	}
+	if s.Held && expired(s.Until, now) {
+		s.Held = false
+	}
+	return s
+}
+
+// expired compares by the monotonic clock and by the wall clock: a machine
+// that was suspended may find that only one of them went on.
+func expired(until, now time.Time) bool {
+	return !now.Before(until) || !now.Round(0).Before(until.Round(0))
+}
+
+// Takes says whether the VM takes new work.
+func (v *View) Takes() bool {
+	return v.Self.Ready && !v.Isolated
+}
+
+// Leases returns what is known of the servers of the VM's cell. The caller
+// must not change the map.
+func (v *View) Leases() map[string]shuntowner.LeaseState { return v.leases }
--- /dev/null
+++ b/shuntload/result.go
@@ -0,0 +1,77 @@
+package shuntload
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mulberryshunt.example/mulberryshunt/shuntcaller"
+)
+
+const (
+	histogramLow    = 1
+	histogramHigh   = 60_000_000
+	histogramDigits = 3
+)
+
+// Result is what the callers of one workspace saw.
+type Result struct {
+	Workspace string
+	Queries   int
+	Outcomes  map[string]int
+	Reasons   map[string]int
+	Errors    int
+	Answered  int
+	Total     int
+	Sent      int
+	// Latencies are in microseconds, from the time that a query was due.
+	Latencies *hdrhistogram.Histogram
+	// LastError is the newest error; "" when there was none.
+	LastError string
+}
+
+// NewResult returns a Result without queries.
+func NewResult(workspace string) *Result {
+	return &Result{
+		Workspace: workspace,
+		Outcomes:  map[string]int{},
+		Reasons:   map[string]int{},
+		Latencies: hdrhistogram.New(histogramLow, histogramHigh, histogramDigits),
+	}
+}
+
+// Add books an answer that came took after the query was due.
+func (r *Result) Add(a shuntcaller.Answer, took time.Duration) {
+	r.Queries++
+	r.Outcomes[a.Outcome]++
+	if a.Outcome != "Complete" {
+		r.Reasons[a.Reason]++
+	}
+	r.Answered += a.Coverage.Answered
+	r.Total += a.Coverage.Total
+	r.Sent += a.SubRequests
+	_ = r.Latencies.RecordValue(min(took.Microseconds(), histogramHigh))
+}
+
+// Coverage returns the share of shards that answered, over all answers.
+func (r *Result) Coverage() float64 {
+	if r.Total == 0 {
+		return 0
+	}
+	return float64(r.Answered) / float64(r.Total)
+}
+
+// ExtraLoad returns the sub-requests sent beyond one a shard, as a share.
+func (r *Result) ExtraLoad() float64 {
+	if r.Total == 0 {
+		return 0
+	}
+	return max(0, float64(r.Sent)/float64(r.Total)-1)
+}
+
+// Fail books a query that got no answer.
+func (r *Result) Fail(err error) {
+	r.Queries++
+	r.Errors++
+	r.LastError = err.Error()
+}
--- /dev/null
+++ b/shuntowner/metrics.go
@@ -0,0 +1,66 @@
+package shuntowner
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mulberryshunt.example/mulberryshunt/shuntmetric"
+	"mulberryshunt.example/mulberryshunt/shuntoutcome"
+)
+
+var (
+	docRefused     = shuntmetric.Doc{Name: "mulberryshunt_owner_refused_total", Labels: "Reason", Type: "Counter", Text: "Sub-requests that the owner refused without sending them to the backend server.", Since: "0.1"}
+	docSheds       = shuntmetric.Doc{Name: "mulberryshunt_owner_sheds_total", Type: "Counter", Text: "Sub-requests that a backend server refused for want of room.", Since: "0.1"}
+	docColdStarts  = shuntmetric.Doc{Name: "mulberryshunt_owner_cold_starts_total", Type: "Counter", Text: "Times that a backend server was seen with a new start identity.", Since: "0.1"}
+	docConnectFail = shuntmetric.Doc{Name: "mulberryshunt_owner_connect_failures_total", Type: "Counter", Text: "Connections to backend servers that could not be opened.", Since: "0.1"}
+	docLosses      = shuntmetric.Doc{Name: "mulberryshunt_owner_connections_lost_total", Type: "Counter", Text: "Connections that broke with a request in flight.", Since: "0.1"}
+	docSilent      = shuntmetric.Doc{Name: "mulberryshunt_owner_silent_connections_total", Type: "Counter", Text: "Connections closed because they gave nothing while others to the same server answered.", Since: "0.1"}
+	docMismatches  = shuntmetric.Doc{Name: "mulberryshunt_owner_mismatched_replies_total", Type: "Counter", Text: "Replies dropped because they belonged to another request.", Since: "0.1"}
+	docBatches     = shuntmetric.Doc{Name: "mulberryshunt_owner_batches_total", Type: "Counter", Text: "Batches of sub-requests received from entry VMs.", Since: "0.1"}
+	docSubRequests = shuntmetric.Doc{Name: "mulberryshunt_owner_subrequests_total", Type: "Counter", Text: "Sub-requests received.", Since: "0.1"}
+)
+
+// MetricDocs describes the metrics of this package.
+func MetricDocs() []shuntmetric.Doc {
+	return []shuntmetric.Doc{
+		docBatches, docSubRequests, docRefused, docSheds, docColdStarts,
+		docConnectFail, docLosses, docSilent, docMismatches,
+	}
+}
+
+// Metrics counts what owners see.
+type Metrics struct {
+	Batches           *metrics.Counter
+	SubRequests       *metrics.Counter
+	Sheds             *metrics.Counter
+	ColdStarts        *metrics.Counter
+	ConnectFailures   *metrics.Counter
+	Losses            *metrics.Counter
+	SilentConnections *metrics.Counter
+	Mismatches        *metrics.Counter
+
+	set *metrics.Set
+}
+
+// NewMetrics returns counters in set; a nil set gives counters nobody reads.
+func NewMetrics(set *metrics.Set) *Metrics {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	return &Metrics{
+		Batches:           shuntmetric.Counter(set, docBatches, ""),
+		SubRequests:       shuntmetric.Counter(set, docSubRequests, ""),
+		Sheds:             shuntmetric.Counter(set, docSheds, ""),
+		ColdStarts:        shuntmetric.Counter(set, docColdStarts, ""),
+		ConnectFailures:   shuntmetric.Counter(set, docConnectFail, ""),
+		Losses:            shuntmetric.Counter(set, docLosses, ""),
+		SilentConnections: shuntmetric.Counter(set, docSilent, ""),
+		Mismatches:        shuntmetric.Counter(set, docMismatches, ""),
+		set:               set,
+	}
+}
+
+func (m *Metrics) refused(why shuntoutcome.Reason) {
+	shuntmetric.Counter(m.set, docRefused, fmt.Sprintf("Reason=%q", why)).Inc()
+}
--- /dev/null
+++ b/shuntowner/queue.go
@@ -0,0 +1,94 @@
+package shuntowner
+
+import (
+	"container/heap"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+)
+
+// waiter is a sub-request that waits for room at a server.
+type waiter struct {
+	class    shuntconfig.Class
+	deadline time.Time
+	sequence uint64
+	// ready gets the turn; its buffer of one lets the giver go on at once.
+	ready chan turn
+	index int
+}
+
+// turn is what a waiter gets: a place at the server, or a refusal.
+type turn struct {
+	slot    *slot
+	refusal refusal
+}
+
+// waiters orders by class, then by deadline, then by arrival.
+type waiters []*waiter
+
+func (q waiters) Len() int { return len(q) }
+
+func (q waiters) Less(i, j int) bool {
+	a, b := q[i], q[j]
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	if !a.deadline.Equal(b.deadline) {
+		return a.deadline.Before(b.deadline)
+	}
+	return a.sequence < b.sequence
+}
+
+func (q waiters) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index = i
+	q[j].index = j
+}
+
+// Push implements heap.Interface.
+func (q *waiters) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*q)
+	*q = append(*q, w)
+}
+
+// Pop implements heap.Interface.
+func (q *waiters) Pop() any {
+	old := *q
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*q = old[:len(old)-1]
+	w.index = -1
+	return w
+}
+
+func (q *waiters) add(w *waiter) { heap.Push(q, w) }
+
+func (q *waiters) first() *waiter {
+	if len(*q) == 0 {
+		return nil
+	}
+	return (*q)[0]
+}
+
+func (q *waiters) takeFirst() *waiter { return heap.Pop(q).(*waiter) }
+
+// remove takes w out and reports whether it was still queued.
+func (q *waiters) remove(w *waiter) bool {
+	if w.index < 0 {
+		return false
+	}
+	heap.Remove(q, w.index)
+	return true
+}
+
+// worst returns the waiter that goes last, for eviction.
+func (q *waiters) worst() *waiter {
+	var out *waiter
+	for i, w := range *q {
+		if out == nil || q.Less(out.index, i) {
+			out = w
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/shuntquery/replica.go
@@ -0,0 +1,155 @@
+package shuntquery
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+)
+
+const (
+	replicaAlpha = 0.2
+	// forgetting is the time in which what was seen of a server loses half of
+	// its weight, so that a server once slow is tried again.
+	forgetting = 3 * time.Second
+	// firstLatency is what a server without samples is taken to need.
+	firstLatency = 5 * time.Millisecond
+	failureCost  = 200 * time.Millisecond
+	// goneTime is how long a server is taken to lack a snapshot after it said so.
+	goneTime = time.Second
+)
+
+// replicaStats is what this VM itself saw of one server.
+type replicaStats struct {
+	latency  float64
+	seen     time.Time
+	inFlight int
+	// queued is the load that the owner reported last.
+	queued int
+	gone   map[shuntconfig.SnapshotID]time.Time
+}
+
+// Replicas holds what this VM saw of the backend servers, and chooses by it.
+type Replicas struct {
+	mu    sync.Mutex
+	stats map[string]*replicaStats
+}
+
+// NewReplicas returns Replicas that have seen nothing.
+func NewReplicas() *Replicas {
+	return &Replicas{stats: map[string]*replicaStats{}}
+}
+
+func (p *Replicas) get(id string) *replicaStats {
+	s, ok := p.stats[id]
+	if !ok {
+		s = &replicaStats{latency: firstLatency.Seconds()}
+		p.stats[id] = s
+	}
+	return s
+}
+
+// score estimates how long a new request would take, in seconds. A latency
+// seen long ago counts less; what is unknown is taken as usual.
+func (s *replicaStats) score(now time.Time) float64 {
+	age := now.Sub(s.seen).Seconds() / forgetting.Seconds()
+	weight := math.Exp2(-age)
+	l := weight*s.latency + (1-weight)*min(s.latency, firstLatency.Seconds())
+	return l * float64(1+s.inFlight+s.queued)
+}
+
+// Started books an attempt.
+func (p *Replicas) Started(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(id).inFlight++
+}
+
+// Finished books the end of an attempt. A latency of 0 says nothing of the
+// server's speed.
+func (p *Replicas) Finished(id string, latency time.Duration, queued int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(id)
+	s.inFlight = max(0, s.inFlight-1)
+	s.queued = queued
+	if latency <= 0 {
+		return
+	}
+	s.latency += replicaAlpha * (latency.Seconds() - s.latency)
+	s.seen = now
+}
+
+// Failed books a failure, so that the server is avoided for a while.
+func (p *Replicas) Failed(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(id)
+	s.latency = max(s.latency, failureCost.Seconds())
+	s.seen = now
+}
+
+// Gone books that a server lacks a snapshot.
+func (p *Replicas) Gone(id string, snap shuntconfig.SnapshotID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(id)
+	if s.gone == nil {
+		s.gone = map[shuntconfig.SnapshotID]time.Time{}
+	}
+	for id, t := range s.gone {
+		if now.Sub(t) > goneTime {
+			delete(s.gone, id)
+		}
+	}
+	s.gone[snap] = now
+}
+
+// Lacks says whether a server said lately that it lacks a snapshot.
+func (p *Replicas) Lacks(id string, snap shuntconfig.SnapshotID, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.stats[id]
+	if !ok {
+		return false
+	}
+	t, ok := s.gone[snap]
+	return ok && now.Sub(t) <= goneTime
+}
+
+// Choose returns the better of two random ones of the candidates by the
+// expected time; false when there are none. Two choices, not the best of all,
+// keep the VMs from all turning to the same server at once.
+func (p *Replicas) Choose(candidates []shuntconfig.ServerPlace, now time.Time) (shuntconfig.ServerPlace, bool) {
+	switch len(candidates) {
+	case 0:
+		return shuntconfig.ServerPlace{}, false
+	case 1:
+		return candidates[0], true
+	}
+	i := rand.IntN(len(candidates))
+	j := rand.IntN(len(candidates) - 1)
+	if j >= i {
+		j++
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, b := candidates[i], candidates[j]
+	if p.get(b.ID()).score(now) < p.get(a.ID()).score(now) {
+		return b, true
+	}
+	return a, true
+}
+
+// Keep forgets the servers that are not in t.
+func (p *Replicas) Keep(t *shuntconfig.Tree) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.stats {
+		if _, ok := t.Server(id); !ok {
+			delete(p.stats, id)
+		}
+	}
+}
--- /dev/null
+++ b/shuntquery/run.go
@@ -0,0 +1,617 @@
+package shuntquery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+	"mulberryshunt.example/mulberryshunt/shuntoutcome"
+	"mulberryshunt.example/mulberryshunt/shuntowner"
+)
+
+const (
+	// mergeMargin is kept from the deadline for the merge and the way back.
+	mergeMargin = 3 * time.Millisecond
+	// firstHedgeShare of the time left is the hedge delay of a service that
+	// has no latencies yet.
+	firstHedgeShare = 4
+	// stragglerFactor: an answer by deadline may leave without shards that
+	// take longer than this many times the service's 99th percentile.
+	stragglerFactor   = 4
+	stragglerQuantile = 0.99
+	maxRedirects      = 3
+	redirectPause     = 20 * time.Millisecond
+	// maxAttempts bounds the attempts at one shard, whatever the budgets say.
+	maxAttempts = 8
+	retryPause  = 10 * time.Millisecond
+	// maxOpen is how many attempts at one shard are open at most, the first
+	// and its hedge. The reply channel holds that many, so that a reply given
+	// on the query's own goroutine never blocks it.
+	maxOpen = 2
+)
+
+// shard is the state of one shard in a run.
+type shard struct {
+	plan     shuntconfig.PlanShard
+	done     bool
+	failed   bool
+	rows     []byte
+	attempts int
+	open     int
+	// probe marks a shard that was sent to while the content was probed.
+	probe bool
+	// ran is true once an attempt ended without the certainty that it did not run.
+	ran       bool
+	hedged    bool
+	redirects int
+	tried     map[string]bool
+	reason    shuntoutcome.Reason
+	server    string
+	owner     string
+	began     time.Time
+	ended     time.Time
+	hedgeAt   time.Time
+	// retryAt is when a postponed attempt is due; zero means none is.
+	retryAt time.Time
+}
+
+// attempt is one sub-request on its way.
+type attempt struct {
+	shard  int
+	server string
+	owner  string
+	sent   time.Time
+	batch  shuntowner.Sent
+}
+
+// run is one query on one pinned snapshot. Only the query's goroutine uses it.
+type run struct {
+	c         *Coordinator
+	tree      *shuntconfig.Tree
+	workspace shuntconfig.Workspace
+	snapshot  shuntconfig.PlanSnapshot
+	query     Query
+	print     uint64
+	// suspect: servers died under this content; attempts run alone.
+	suspect bool
+	// probing: one attempt at a time, until one has succeeded. held are the
+	// shards that wait for it.
+	probing  bool
+	held     []int
+	refused  shuntoutcome.Reason
+	deadline time.Time
+	budgets  *budgets
+
+	shards   []shard
+	attempts map[uint64]*attempt
+	next     uint64
+	left     int
+	replies  chan shuntowner.SubReply
+	ended    chan struct{}
+	answer   Answer
+	gone     bool
+}
+
+// runOn answers q from the snapshot s. It also reports whether the query
+// should start again on another snapshot.
+func (c *Coordinator) runOn(ctx context.Context, t *shuntconfig.Tree, w shuntconfig.Workspace, s shuntconfig.PlanSnapshot, q Query, fp uint64, v shuntguard.Verdict) (Answer, bool) {
+	r := &run{
+		c:         c,
+		tree:      t,
+		workspace: w,
+		snapshot:  s,
+		query:     q,
+		suspect:   v.Suspect,
+		probing:   v.Canary,
+		print:     fp,
+		deadline:  q.Deadline.Add(-mergeMargin),
+		budgets:   c.budgetsOf(w.Name),
+		shards:    make([]shard, len(s.Shards)),
+		attempts:  make(map[uint64]*attempt, len(s.Shards)),
+		left:      len(s.Shards),
+		replies:   make(chan shuntowner.SubReply, maxOpen*len(s.Shards)),
+		ended:     make(chan struct{}),
+	}
+	defer close(r.ended)
+	for i, h := range s.Shards {
+		r.shards[i].plan = h
+	}
+	r.scatter()
+	r.loop(ctx)
+	r.cancelOpen()
+	return r.finish(), r.gone && r.restartable()
+}
+
+// restartable says whether nothing forbids to run the query once more.
+func (r *run) restartable() bool {
+	if r.query.Idempotent {
+		return true
+	}
+	for i := range r.shards {
+		if r.shards[i].done || r.shards[i].ran || r.shards[i].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// scatter sends the first attempt at every shard, one batch to each owner.
+func (r *run) scatter() {
+	now := time.Now()
+	all := make([]int, len(r.shards))
+	for i := range r.shards {
+		all[i] = i
+		r.shards[i].began = now
+	}
+	r.send(all, now)
+	r.budgets.hedge.Earn(len(all), r.workspace.HedgeFraction)
+	r.budgets.retry.Earn(len(all), r.workspace.RetryFraction)
+	klog.V(1).InfoS("Query scattered", "query", r.query.ID, "workspace", r.query.Workspace, "snapshot", r.snapshot.ID, "shards", len(all))
+}
+
+// send starts an attempt at each of the shards, grouped by owner. While the
+// content is being probed, all but one of them are held back.
+func (r *run) send(shards []int, now time.Time) {
+	if r.probing {
+		for _, i := range shards {
+			r.shards[i].retryAt = time.Time{}
+		}
+		r.held = append(r.held, shards...)
+		shards = r.nextProbe()
+	}
+	batches := map[string][]shuntowner.SubRequest{}
+	for _, i := range shards {
+		place, ok := r.choose(&r.shards[i], now)
+		if !ok {
+			r.fail(&r.shards[i], shuntoutcome.NoReplica, now)
+			continue
+		}
+		vm, ok := r.c.config.Router.Route(place.ID())
+		if !ok {
+			r.shards[i].reason = shuntoutcome.NotOwner
+			r.postpone(&r.shards[i], redirectPause, now)
+			continue
+		}
+		batches[vm] = append(batches[vm], r.begin(i, place.ID(), vm, now))
+	}
+	for vm, rs := range batches {
+		r.dispatch(vm, rs)
+	}
+}
+
+// nextProbe takes the shard to probe with out of held, unless one is open.
+func (r *run) nextProbe() []int {
+	for i := range r.shards {
+		h := &r.shards[i]
+		if h.probe && (h.open > 0 || !h.retryAt.IsZero()) {
+			return nil
+		}
+	}
+	for len(r.held) > 0 {
+		i := r.held[0]
+		r.held = r.held[1:]
+		if h := &r.shards[i]; !h.done && !h.failed {
+			h.probe = true
+			return []int{i}
+		}
+	}
+	return nil
+}
+
+// probed goes on with the shards held back, after an attempt that ran well.
+func (r *run) probed(now time.Time) {
+	r.probing = false
+	held := r.held
+	r.held = nil
+	if len(held) > 0 {
+		r.send(held, now)
+	}
+}
+
+// crashed books that a server died under the query.
+func (r *run) crashed(server string, now time.Time) {
+	v := r.c.config.Guard.Crashed(r.print, server, r.suspect)
+	if v.Refused == shuntoutcome.None {
+		r.suspect = true
+		r.probing = true
+		return
+	}
+	r.refused = v.Refused
+	for _, i := range r.held {
+		r.fail(&r.shards[i], v.Refused, now)
+	}
+	r.held = nil
+}
+
+func (r *run) dispatch(vm string, rs []shuntowner.SubRequest) {
+	b := r.c.config.Sender.Send(vm, rs, r.deliver)
+	for _, q := range rs {
+		r.attempts[q.Attempt].batch = b
+	}
+	r.c.config.Metrics.Batches.Inc()
+}
+
+// begin books an attempt and returns its sub-request.
+func (r *run) begin(i int, server, vm string, now time.Time) shuntowner.SubRequest {
+	h := &r.shards[i]
+	r.next++
+	h.attempts++
+	h.open++
+	h.server = server
+	h.owner = vm
+	h.retryAt = time.Time{}
+	h.hedgeAt = now.Add(r.hedgeDelay(h.plan.Service, now))
+	if h.tried == nil {
+		h.tried = make(map[string]bool, 2)
+	}
+	h.tried[server] = true
+	r.attempts[r.next] = &attempt{shard: i, server: server, owner: vm, sent: now}
+	r.answer.Sent++
+	r.c.replicas.Started(server)
+	klog.V(2).InfoS("Attempt placed", "query", r.query.ID, "attempt", r.next, "shard", h.plan.Name, "server", server, "owner", vm)
+	return shuntowner.SubRequest{
+		Query:      r.query.ID,
+		Attempt:    r.next,
+		Server:     server,
+		Shard:      h.plan.Name,
+		Snapshot:   r.snapshot.ID,
+		Class:      r.workspace.Class,
+		Deadline:   r.deadline,
+		Idempotent: r.query.Idempotent,
+		Suspect:    r.suspect,
+		Body:       r.query.Body,
+	}
+}
+
+// choose picks a replica that was not tried yet, or any when all were.
+func (r *run) choose(h *shard, now time.Time) (shuntconfig.ServerPlace, bool) {
+	all := usable(r.tree.Fleet(), h.plan, r.snapshot.ID, r.c.replicas, now)
+	fresh := make([]shuntconfig.ServerPlace, 0, len(all))
+	for _, p := range all {
+		if !h.tried[p.ID()] {
+			fresh = append(fresh, p)
+		}
+	}
+	if len(fresh) > 0 {
+		all = fresh
+	}
+	if r.c.config.Policy.RandomReplica && len(all) > 0 {
+		return all[rand.IntN(len(all))], true
+	}
+	return r.c.replicas.Choose(all, now)
+}
+
+func (r *run) hedgeDelay(service string, now time.Time) time.Duration {
+	if d := r.c.config.Policy.HedgeDelay; d > 0 {
+		return d
+	}
+	if d, ok := r.c.latenciesOf(service).Quantile(r.workspace.HedgeQuantile); ok {
+		return d
+	}
+	return r.deadline.Sub(now) / firstHedgeShare
+}
+
+// deliver hands a reply to the query's goroutine, or drops it as late.
+func (r *run) deliver(p shuntowner.SubReply) {
+	select {
+	case r.replies <- p:
+	case <-r.ended:
+		r.c.config.Metrics.Late.Inc()
+		r.c.replicas.Finished(p.Server, 0, p.InFlight, time.Now())
+	}
+}
+
+// loop handles replies and timers until the run is over.
+func (r *run) loop(ctx context.Context) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for r.left > 0 {
+		now := time.Now()
+		due := r.due(now)
+		t.Reset(due.Sub(now))
+		select {
+		case p := <-r.replies:
+			r.reply(p, time.Now())
+		case <-t.C:
+			if !r.tick(time.Now()) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+		if r.gone && r.restartable() {
+			return
+		}
+	}
+}
+
+// due returns when tick has something to do next.
+func (r *run) due(now time.Time) time.Time {
+	at := r.deadline
+	for i := range r.shards {
+		h := &r.shards[i]
+		if h.done || h.failed {
+			continue
+		}
+		if !h.retryAt.IsZero() && h.retryAt.Before(at) {
+			at = h.retryAt
+		}
+		if r.mayHedge(h) && h.hedgeAt.Before(at) {
+			at = h.hedgeAt
+		}
+	}
+	if p, ok := r.patience(); ok && p.Before(at) {
+		at = p
+	}
+	if at.Before(now) {
+		return now
+	}
+	return at
+}
+
+// tick starts what is due and reports whether the run goes on.
+func (r *run) tick(now time.Time) bool {
+	if !now.Before(r.deadline) {
+		return false
+	}
+	if p, ok := r.patience(); ok && !now.Before(p) {
+		return false
+	}
+	var retry, hedge []int
+	for i := range r.shards {
+		h := &r.shards[i]
+		switch {
+		case h.done || h.failed:
+		case !h.retryAt.IsZero() && !now.Before(h.retryAt):
+			retry = append(retry, i)
+		case r.mayHedge(h) && !now.Before(h.hedgeAt):
+			h.hedged = true
+			if r.hedgeTarget(h, now) && r.takeHedge() {
+				hedge = append(hedge, i)
+			}
+		}
+	}
+	r.answer.Hedges += len(hedge)
+	r.send(append(retry, hedge...), now)
+	return true
+}
+
+func (r *run) takeHedge() bool {
+	if r.c.config.Policy.FreeHedges || r.budgets.hedge.Take() {
+		r.c.config.Metrics.Hedges.Inc()
+		return true
+	}
+	r.c.config.Metrics.HedgesDenied.Inc()
+	return false
+}
+
+// mayHedge says whether a slow shard may get a second attempt: one at most,
+// only for idempotent queries, and never for a suspect of crashes.
+func (r *run) mayHedge(h *shard) bool {
+	return !h.hedged && h.open == 1 && r.query.Idempotent && !r.suspect && !r.probing &&
+		r.workspace.HedgeFraction > 0 && !r.c.config.Policy.NoHedge
+}
+
+// hedgeTarget says whether there is another server for a hedge. The second
+// attempt never goes to the server of the first, and so never shares its
+// connection.
+func (r *run) hedgeTarget(h *shard, now time.Time) bool {
+	for _, p := range usable(r.tree.Fleet(), h.plan, r.snapshot.ID, r.c.replicas, now) {
+		if !h.tried[p.ID()] {
+			return true
+		}
+	}
+	return false
+}
+
+// patience is when an answer by deadline may leave without its stragglers.
+func (r *run) patience() (time.Time, bool) {
+	if r.workspace.WaitForAll || r.left == 0 || !r.query.Idempotent {
+		return time.Time{}, false
+	}
+	answered := len(r.shards) - r.left
+	if answered == 0 || float64(answered) < r.workspace.MinimumCoverage*float64(len(r.shards)) {
+		return time.Time{}, false
+	}
+	var at time.Time
+	for i := range r.shards {
+		h := &r.shards[i]
+		if h.done || h.failed {
+			continue
+		}
+		q, ok := r.c.latenciesOf(h.plan.Service).Quantile(stragglerQuantile)
+		if !ok {
+			return time.Time{}, false
+		}
+		if e := h.began.Add(stragglerFactor * q); e.After(at) {
+			at = e
+		}
+	}
+	return at, true
+}
+
+// reply books a reply.
+func (r *run) reply(p shuntowner.SubReply, now time.Time) {
+	a, ok := r.attempts[p.Attempt]
+	if !ok || p.Query != r.query.ID || p.Server != a.server || p.Shard != r.shards[a.shard].plan.Name {
+		r.c.config.Metrics.Foreign.Inc()
+		klog.InfoS("Foreign reply dropped", "query", r.query.ID, "got", p.Query, "attempt", p.Attempt, "shard", p.Shard)
+		return
+	}
+	delete(r.attempts, p.Attempt)
+	h := &r.shards[a.shard]
+	h.open--
+	r.observe(a, p, now)
+	if h.done || h.failed {
+		// Another attempt was faster.
+		return
+	}
+	if p.Outcome == shuntoutcome.Complete && p.Snapshot != r.snapshot.ID {
+		p.Outcome, p.Reason = shuntoutcome.Unknown, shuntoutcome.ReplyMismatch
+		r.c.config.Metrics.Foreign.Inc()
+	}
+	if p.Outcome == shuntoutcome.Complete {
+		r.succeed(h, a, p, now)
+		return
+	}
+	h.reason = p.Reason
+	h.ran = h.ran || p.Outcome == shuntoutcome.Unknown
+	if h.open > 0 {
+		// The other attempt may still answer.
+		return
+	}
+	r.after(h, a, p, now)
+}
+
+// observe keeps what the reply tells of the server.
+func (r *run) observe(a *attempt, p shuntowner.SubReply, now time.Time) {
+	took := now.Sub(a.sent)
+	switch {
+	case p.Outcome == shuntoutcome.Complete:
+		r.c.latenciesOf(r.shards[a.shard].plan.Service).Add(took)
+		r.c.replicas.Finished(a.server, took, p.InFlight, now)
+		return
+	case p.Reason == shuntoutcome.Cancelled, p.Reason == shuntoutcome.DeadlinePassed:
+		// It would have taken longer still; that much is known.
+		r.c.replicas.Finished(a.server, took, p.InFlight, now)
+	default:
+		r.c.replicas.Finished(a.server, 0, p.InFlight, now)
+	}
+	switch p.Reason {
+	case shuntoutcome.SnapshotGone:
+		r.c.replicas.Gone(a.server, r.snapshot.ID, now)
+	case shuntoutcome.ConnectFailed, shuntoutcome.ConnectionLost, shuntoutcome.ServerFault, shuntoutcome.ServerLeaving, shuntoutcome.Shed:
+		r.c.replicas.Failed(a.server, now)
+	}
+	switch {
+	case p.Reason == shuntoutcome.PeerLost:
+		r.c.config.Router.Lost(a.owner)
+	case p.Reason == shuntoutcome.NotOwner && p.Owner != "":
+		r.c.config.Router.Learn(a.server, p.Owner)
+	}
+	if p.Crashed {
+		r.crashed(a.server, now)
+	}
+}
+
+func (r *run) succeed(h *shard, a *attempt, p shuntowner.SubReply, now time.Time) {
+	h.done = true
+	h.rows = p.Rows
+	h.server = a.server
+	h.owner = a.owner
+	h.ended = now
+	h.reason = shuntoutcome.None
+	r.left--
+	r.cancelShard(a.shard)
+	if r.probing && h.probe {
+		r.probed(now)
+	}
+}
+
+// after decides what follows an attempt that failed with no other one open.
+func (r *run) after(h *shard, a *attempt, p shuntowner.SubReply, now time.Time) {
+	notRun := p.Outcome == shuntoutcome.NotRun
+	switch {
+	case !notRun && !r.query.Idempotent:
+		r.fail(h, p.Reason, now)
+	case r.refused != shuntoutcome.None:
+		r.fail(h, r.refused, now)
+	case p.Reason == shuntoutcome.NotOwner && h.redirects < maxRedirects:
+		r.redirect(h, a, p, now)
+	case p.Reason == shuntoutcome.SnapshotGone:
+		r.afterGone(h, now)
+	case h.attempts >= maxAttempts:
+		r.fail(h, p.Reason, now)
+	default:
+		r.retry(h, p.Reason, now)
+	}
+}
+
+// redirect follows the hint of a VM that is not the owner; without a hint it
+// waits a moment, since a lease may be on its way from one VM to another.
+func (r *run) redirect(h *shard, a *attempt, p shuntowner.SubReply, now time.Time) {
+	h.redirects++
+	if p.Owner == "" || p.Owner == a.owner {
+		delete(h.tried, a.server)
+		r.postpone(h, redirectPause, now)
+		return
+	}
+	r.dispatch(p.Owner, []shuntowner.SubRequest{r.begin(a.shard, a.server, p.Owner, now)})
+}
+
+// afterGone tries another replica; when none is left that holds the snapshot,
+// the query has to start again on another one.
+func (r *run) afterGone(h *shard, now time.Time) {
+	if len(usable(r.tree.Fleet(), h.plan, r.snapshot.ID, r.c.replicas, now)) == 0 {
+		r.gone = true
+		r.fail(h, shuntoutcome.SnapshotGone, now)
+		return
+	}
+	r.postpone(h, 0, now)
+}
+
+// retry sends the shard again within the budget: at once to a replica not
+// tried yet, after a pause to one that was.
+func (r *run) retry(h *shard, why shuntoutcome.Reason, now time.Time) {
+	if !r.c.config.Policy.FreeRetries && !r.budgets.retry.Take() {
+		r.c.config.Metrics.RetriesDenied.Inc()
+		r.fail(h, why, now)
+		return
+	}
+	r.c.config.Metrics.Retries.Inc()
+	r.answer.Retries++
+	if r.hedgeTarget(h, now) {
+		r.postpone(h, 0, now)
+		return
+	}
+	// Full jitter keeps the retries of many queries apart.
+	r.postpone(h, retryPause+rand.N(retryPause<<min(h.attempts, 5)), now)
+}
+
+func (r *run) postpone(h *shard, d time.Duration, now time.Time) {
+	h.retryAt = now.Add(d)
+	if !h.retryAt.Before(r.deadline) {
+		r.fail(h, shuntoutcome.DeadlinePassed, now)
+	}
+}
+
+func (r *run) fail(h *shard, why shuntoutcome.Reason, now time.Time) {
+	if h.done || h.failed {
+		return
+	}
+	h.failed = true
+	h.reason = why
+	h.ended = now
+	r.left--
+	if r.probing && r.left > 0 {
+		r.send(nil, now)
+	}
+}
+
+func (r *run) cancelShard(i int) {
+	if r.shards[i].open == 0 {
+		return
+	}
+	for n, a := range r.attempts {
+		if a.shard == i && a.batch != nil {
+			a.batch.Cancel(n)
+		}
+	}
+}
+
+// cancelOpen ends all attempts that are still on their way.
+func (r *run) cancelOpen() {
+	byBatch := map[shuntowner.Sent][]uint64{}
+	for n, a := range r.attempts {
+		if a.batch != nil {
+			byBatch[a.batch] = append(byBatch[a.batch], n)
+		}
+	}
+	for b, ns := range byBatch {
+		b.Cancel(ns...)
+	}
+}
