Add a bench in virtual time, and hedge to a tried replica when the other is known to be far slower

Cause: with one replica 20 times slow, the hedge of its shard's one good replica went to the slow one and was of no use. Change: the hedge goes to the replica with the least expected time, a tried one counting four times. Answers by deadline leave stragglers only after half of their time, with the reason Straggler.

--- a/shuntconfig/settings_workspace.go
+++ b/shuntconfig/settings_workspace.go
@@ -81,7 +81,7 @@
 			w.Deadline = time.Duration(n) * time.Millisecond
 			return ""
 		}},
-	{SettingDoc{"WaitForAll", "Boolean", "", "false", "True: an answer waits for every shard until the deadline. False: it may leave once MinimumCoverage is reached and the missing shards take over four times the 99th percentile of their service.", "0.1"},
+	{SettingDoc{"WaitForAll", "Boolean", "", "false", "True: an answer waits for every shard until the deadline. False: it may leave once MinimumCoverage is reached and half of the time is over and the missing shards take over four times the 99th percentile of their service.", "0.1"},
 		func(w *Workspace, v any) string {
 			b, ok := v.(bool)
 			if !ok {
--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntpeer"
 	"mulberryshunt.example/mulberryshunt/shuntplatform"
 	"mulberryshunt.example/mulberryshunt/shuntquery"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 const (
@@ -49,6 +50,12 @@
 	// Caller, when not nil, takes the place of the connections to other VMs,
 	// and the daemon then listens nowhere. For tests in virtual time.
 	Caller Caller
+	// Seed makes the choices repeatable; 0 takes a random seed.
+	Seed uint64
+	// Leases and Router take the places of the fleet's; nil takes those. For
+	// baselines without owners.
+	Leases shuntowner.Leases
+	Router shuntquery.Router
 	// OwnerPolicy, QueryPolicy and Admission vary the decisions for experiments.
 	OwnerPolicy shuntowner.Policy
 	QueryPolicy shuntquery.Policy
@@ -64,6 +71,7 @@
 type Daemon struct {
 	config      Config
 	start       string
+	random      *shuntrandom.Source
 	metrics     *metrics.Set
 	guard       *shuntguard.Guard
 	runner      *shuntfleet.Runner
@@ -83,7 +91,7 @@
 
 // New returns a Daemon that does nothing yet.
 func New(c Config) *Daemon {
-	d := &Daemon{config: c, start: shuntclaim.NewStart(), metrics: metrics.NewSet()}
+	d := &Daemon{config: c, start: shuntclaim.NewStart(), random: shuntrandom.New(c.Seed), metrics: metrics.NewSet()}
 	if d.config.Dial == nil {
 		d.config.Dial = shuntpeer.DialTCP
 	}
@@ -108,12 +116,13 @@
 	m := shuntfleet.NewMetrics(d.metrics)
 	d.runner = shuntfleet.NewRunner(shuntfleet.RunnerConfig{
 		Control: shuntfleet.ControlConfig{
-			VM:    s.Name,
-			Start: d.start,
-			Cell:  s.Cell,
-			Idle:  func(server string) bool { return d.owner.Idle(server) },
-			Load:  d.load,
-			Guard: d.guard,
+			VM:     s.Name,
+			Start:  d.start,
+			Cell:   s.Cell,
+			Idle:   func(server string) bool { return d.owner.Idle(server) },
+			Load:   d.load,
+			Guard:  d.guard,
+			Random: d.random,
 		},
 		Caller:  d.config.Caller,
 		Metrics: m,
@@ -127,6 +136,7 @@
 		Runner:  d.runner,
 		Seeds:   s.PeerAddresses,
 		Metrics: m,
+		Random:  d.random,
 	})
 	d.router = shuntfleet.NewRouter(d.runner.View)
 }
@@ -142,9 +152,15 @@
 
 func (d *Daemon) makePath() {
 	s := d.config.Settings
+	if d.config.Leases == nil {
+		d.config.Leases = leases{d.runner}
+	}
+	if d.config.Router == nil {
+		d.config.Router = d.router
+	}
 	d.owner = shuntowner.NewOwner(shuntowner.OwnerConfig{
 		Connector: d.config.Connector,
-		Leases:    leases{d.runner},
+		Leases:    d.config.Leases,
 		Metrics:   shuntowner.NewMetrics(d.metrics),
 		Policy:    d.config.OwnerPolicy,
 	})
@@ -158,10 +174,11 @@
 	})
 	d.coordinator = shuntquery.NewCoordinator(shuntquery.CoordinatorConfig{
 		Sender:  d.client,
-		Router:  d.router,
+		Router:  d.config.Router,
 		Guard:   d.guard,
 		Metrics: shuntquery.NewMetrics(d.metrics),
 		Policy:  d.config.QueryPolicy,
+		Random:  d.random,
 	})
 	d.front = shuntentry.NewFront(shuntentry.Config{
 		VM:        s.Name,
@@ -171,6 +188,7 @@
 		Caller:    d.config.Caller,
 		Metrics:   d.metrics,
 		Admission: d.config.Admission,
+		Random:    d.random,
 	})
 }
 
--- a/shuntentry/entries.go
+++ b/shuntentry/entries.go
@@ -1,11 +1,11 @@
 package shuntentry
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntfleet"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 const (
@@ -28,7 +28,7 @@
 // Entries returns the addresses to use, the best first: those of the caller's
 // zone, then of its region, then others; by load among equals. VMs that are
 // leaving, out of service or unheard are left out.
-func Entries(v *shuntfleet.View, zone, region string) []Entry {
+func Entries(v *shuntfleet.View, zone, region string, random *shuntrandom.Source) []Entry {
 	type ranked struct {
 		Entry
 		far  int
@@ -50,7 +50,7 @@
 		case region != "" && z.Region == region:
 			far = 1
 		}
-		rs = append(rs, ranked{Entry{vm.Name, vm.CallerAddress, vm.Zone}, far, load, rand.Uint64()})
+		rs = append(rs, ranked{Entry{vm.Name, vm.CallerAddress, vm.Zone}, far, load, random.Uint64()})
 	}
 	if v.Takes() && !v.Self.Leaving {
 		add(v.Self.VM, v.Self.Load)
--- a/shuntentry/http.go
+++ b/shuntentry/http.go
@@ -42,7 +42,7 @@
 
 func (f *Front) serveEntries(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	es := Entries(f.config.View(), q.Get("Zone"), q.Get("Region"))
+	es := Entries(f.config.View(), q.Get("Zone"), q.Get("Region"), f.config.Random)
 	w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", int(MaxAge.Seconds())))
 	reply(w, http.StatusOK, EncodeEntries(es))
 }
--- a/shuntentry/service.go
+++ b/shuntentry/service.go
@@ -14,6 +14,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntfleet"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntquery"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 // Names of the entry's calls between daemons.
@@ -50,6 +51,8 @@
 	Caller    Caller
 	Metrics   *metrics.Set
 	Admission AdmissionConfig
+	// Random is the source of choices; nil takes a random seed.
+	Random *shuntrandom.Source
 }
 
 // Front takes callers' requests, whatever they come by.
@@ -71,6 +74,9 @@
 
 // NewFront returns a Front.
 func NewFront(c Config) *Front {
+	if c.Random == nil {
+		c.Random = shuntrandom.New(0)
+	}
 	return &Front{
 		config:     c,
 		book:       shuntclaim.NewBook[shuntquery.Answer](shuntclaim.Config{VM: c.VM, Start: c.Start}),
--- a/shuntfleet/control.go
+++ b/shuntfleet/control.go
@@ -1,7 +1,6 @@
 package shuntfleet
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,6 +9,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 // ControlConfig is what a Control is made of.
@@ -27,6 +27,8 @@
 	// Publish is called with each new view, before any message that depends
 	// on it is made.
 	Publish func(*View)
+	// Random is the source of choices; nil takes a random seed.
+	Random *shuntrandom.Source
 }
 
 const (
@@ -86,6 +88,9 @@
 
 // NewControl returns the Control of a VM that has just started.
 func NewControl(c ControlConfig, now time.Time) *Control {
+	if c.Random == nil {
+		c.Random = shuntrandom.New(0)
+	}
 	t := &Control{
 		config:  c,
 		tree:    shuntconfig.NewTree(),
@@ -408,7 +413,7 @@
 	if len(far) == 0 {
 		return nil
 	}
-	m := far[rand.IntN(len(far))]
+	m := far[c.config.Random.Below(len(far))]
 	c.sequence++
 	return []Outgoing{{To: m.vm.Name, Address: m.vm.PeerAddress, Beat: c.beat(m, now), sent: now}}
 }
--- a/shuntfleet/sync.go
+++ b/shuntfleet/sync.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntplatform"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 const (
@@ -35,6 +35,8 @@
 	// Seeds are peer addresses to ask before anything is known.
 	Seeds   []string
 	Metrics *Metrics
+	// Random is the source of jitter; nil takes a random seed.
+	Random *shuntrandom.Source
 }
 
 // Sync keeps a VM's configuration up to date from the platform, and from other
@@ -48,6 +50,9 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics(nil)
 	}
+	if c.Random == nil {
+		c.Random = shuntrandom.New(0)
+	}
 	return &Sync{config: c}
 }
 
@@ -66,7 +71,7 @@
 		s.config.Metrics.PlatformErrors.Inc()
 		klog.V(1).InfoS("Platform can't be read", "reason", err.Error(), "nextTry", wait)
 		// Full jitter: VMs that lost the platform together come back apart.
-		pause(ctx, rand.N(wait))
+		pause(ctx, s.config.Random.Duration(wait))
 		wait = min(2*wait, backoffLimit)
 	}
 }
@@ -83,7 +88,7 @@
 			return
 		}
 		klog.InfoS("No configuration yet", "reason", err.Error(), "nextTry", wait)
-		pause(ctx, rand.N(wait))
+		pause(ctx, s.config.Random.Duration(wait))
 		wait = min(2*wait, time.Second)
 	}
 }
@@ -207,7 +212,7 @@
 			return err
 		}
 		left = left[1:]
-		pause(ctx, rand.N(2*sharePause))
+		pause(ctx, s.config.Random.Duration(2*sharePause))
 	}
 	return nil
 }
--- /dev/null
+++ b/shuntlab/cluster.go
@@ -0,0 +1,346 @@
+package shuntlab
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntdaemon"
+	"mulberryshunt.example/mulberryshunt/shuntentry"
+	"mulberryshunt.example/mulberryshunt/shuntfake"
+	"mulberryshunt.example/mulberryshunt/shuntload"
+	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shuntquery"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
+)
+
+const (
+	cell      = "cell-1"
+	readyTime = 20 * time.Second
+	readyPoll = 20 * time.Millisecond
+)
+
+// Config is what a Cluster is made of.
+type Config struct {
+	Estate shuntfake.Estate
+	Seed   uint64
+	// TailShare is the share of replies that take ten times as long.
+	TailShare float64
+	// Warm starts the backend servers warm.
+	Warm bool
+	// Poison is a query text that kills the server that runs it.
+	Poison string
+	// Templates replaces published templates by name.
+	Templates   map[string]string
+	OwnerPolicy shuntowner.Policy
+	QueryPolicy shuntquery.Policy
+	Admission   shuntentry.AdmissionConfig
+	// Direct lets every VM send to every backend server itself; for baselines
+	// without owners.
+	Direct bool
+	// Wrap changes a VM's connections to backend servers; nil leaves them.
+	Wrap func(vm string, c shuntowner.Connector) shuntowner.Connector
+}
+
+// Cluster is an estate with its VMs, in virtual time.
+type Cluster struct {
+	Platform *shuntfake.Platform
+	Log      *shuntfake.Log
+	Net      *Net
+	Backends map[string]*shuntfake.Backend
+	Daemons  []*shuntdaemon.Daemon
+
+	config    Config
+	random    *shuntrandom.Source
+	fleet     shuntconfig.Fleet
+	services  []shuntconfig.Service
+	byAddress map[string]*shuntfake.Backend
+}
+
+// Start starts a Cluster and waits until every VM serves and every backend
+// server has an owner. It must be called in a synctest bubble.
+func Start(c Config) *Cluster {
+	x := &Cluster{
+		Platform:  shuntfake.NewPlatform(),
+		Log:       shuntfake.NewLog(),
+		Net:       NewNet(c.Estate.Delay),
+		Backends:  map[string]*shuntfake.Backend{},
+		config:    c,
+		random:    shuntrandom.New(c.Seed + 1),
+		byAddress: map[string]*shuntfake.Backend{},
+	}
+	x.startBackends()
+	for n, t := range c.Templates {
+		x.Platform.Publish(shuntconfig.MakeKey(shuntconfig.KindTemplate, n), []byte(t))
+	}
+	x.startFleet()
+	x.WaitReady()
+	return x
+}
+
+func (x *Cluster) startBackends() {
+	n := 0
+	addresses := map[string]string{}
+	address := func(id string) string {
+		if _, ok := addresses[id]; !ok {
+			n++
+			addresses[id] = fmt.Sprintf("10.1.%d.%d:80", n/200, n%200)
+		}
+		return addresses[id]
+	}
+	x.services = x.config.Estate.Services(address)
+	for i, p := range shuntfake.Places(x.services) {
+		b := shuntfake.NewBackend(shuntfake.BackendConfig{
+			Place:     p,
+			Log:       x.Log,
+			Seed:      x.config.Seed*1000 + uint64(i),
+			Service:   x.config.Estate.Shape(p.Service).Service,
+			TailShare: x.config.TailShare,
+			Poison:    x.config.Poison,
+		})
+		b.SetSnapshots(shuntfake.FirstSnapshot)
+		if x.config.Warm {
+			b.Warm()
+		}
+		x.Backends[p.ID()] = b
+		x.byAddress[p.Address] = b
+	}
+	x.config.Estate.Publish(x.Platform, x.services)
+}
+
+func (x *Cluster) startFleet() {
+	x.fleet = shuntconfig.Fleet{Zones: x.config.Estate.Zones}
+	for i := range x.config.Estate.VMs {
+		x.fleet.VMs = append(x.fleet.VMs, shuntconfig.VM{
+			Name:            fmt.Sprintf("vm-%d", i+1),
+			Zone:            x.config.Estate.Zones[i%len(x.config.Estate.Zones)].Name,
+			Cell:            cell,
+			InService:       true,
+			CallerAddress:   fmt.Sprintf("10.0.0.%d:81", i+1),
+			PeerAddress:     fmt.Sprintf("10.0.0.%d:82", i+1),
+			OperatorAddress: fmt.Sprintf("10.0.0.%d:83", i+1),
+		})
+	}
+	x.PublishFleet(x.fleet)
+	x.Daemons = make([]*shuntdaemon.Daemon, len(x.fleet.VMs))
+	for i := range x.fleet.VMs {
+		x.StartVM(i)
+	}
+}
+
+// StartVM starts the daemon of a VM by its number, in place of one before it.
+func (x *Cluster) StartVM(i int) {
+	v := x.fleet.VMs[i]
+	var connector shuntowner.Connector = &shuntfake.Connector{
+		Zone:     v.Zone,
+		Delay:    x.config.Estate.Delay,
+		Setup:    connectionSetup,
+		Backends: func(a string) *shuntfake.Backend { return x.byAddress[a] },
+	}
+	if x.config.Wrap != nil {
+		connector = x.config.Wrap(v.Name, connector)
+	}
+	var seeds []string
+	for _, o := range x.fleet.VMs {
+		if o.Name != v.Name {
+			seeds = append(seeds, o.PeerAddress)
+		}
+	}
+	c := shuntdaemon.Config{
+		Settings:    shuntconfig.Settings{Name: v.Name, Zone: v.Zone, Cell: v.Cell, PeerAddresses: seeds},
+		Reader:      x.Platform,
+		Connector:   connector,
+		Caller:      x.Net.Caller(v.Name, v.Zone),
+		Seed:        x.random.Uint64(),
+		OwnerPolicy: x.config.OwnerPolicy,
+		QueryPolicy: x.config.QueryPolicy,
+		Admission:   x.config.Admission,
+	}
+	if x.config.Direct {
+		c.Leases, c.Router = direct{}, direct{vm: v.Name}
+	}
+	d := shuntdaemon.New(c)
+	x.Daemons[i] = d
+	x.Net.Add(v.PeerAddress, v.Zone, d)
+	d.StartFleet()
+}
+
+// direct makes a VM the owner of every server in its own eyes.
+type direct struct{ vm string }
+
+// Lease implements shuntowner.Leases.
+func (direct) Lease(_ string, now time.Time) shuntowner.LeaseState {
+	return shuntowner.LeaseState{Held: true, Until: now.Add(time.Hour), Voters: 1}
+}
+
+// Route implements shuntquery.Router.
+func (d direct) Route(string) (string, bool) { return d.vm, true }
+
+// Learn implements shuntquery.Router.
+func (direct) Learn(_, _ string) {}
+
+// Lost implements shuntquery.Router.
+func (direct) Lost(string) {}
+
+// connectionSetup is what a new connection takes at the wide workspaces.
+const connectionSetup = 6 * time.Millisecond
+
+// CrashVM ends a VM's daemon as a lost machine would.
+func (x *Cluster) CrashVM(i int) {
+	x.Net.Remove(x.fleet.VMs[i].PeerAddress)
+	x.Daemons[i].Stop()
+}
+
+// Fleet returns the fleet as published last.
+func (x *Cluster) Fleet() shuntconfig.Fleet { return x.fleet }
+
+// Services returns the services as published last.
+func (x *Cluster) Services() []shuntconfig.Service { return x.services }
+
+// PublishFleet publishes a Fleet document and books which servers are out.
+func (x *Cluster) PublishFleet(f shuntconfig.Fleet) {
+	x.fleet = f
+	now := time.Now()
+	for id, b := range x.Backends {
+		x.Log.Close(id, f.ZoneInService(b.Zone()), now)
+	}
+	x.Platform.Publish(shuntconfig.FleetKey, shuntconfig.EncodeFleet(f))
+}
+
+// PublishService publishes a changed service.
+func (x *Cluster) PublishService(s shuntconfig.Service) {
+	for i := range x.services {
+		if x.services[i].Name == s.Name {
+			x.services[i] = s
+		}
+	}
+	now := time.Now()
+	for _, v := range s.Servers {
+		x.Log.Close(shuntconfig.ServerID(s.Name, v.Name), !v.Draining && x.fleet.ZoneInService(v.Zone), now)
+	}
+	x.Platform.Publish(shuntconfig.MakeKey(shuntconfig.KindService, s.Name), shuntconfig.EncodeService(s))
+}
+
+// WaitReady waits until every VM serves and every backend server has an owner,
+// and reports whether that came to be.
+func (x *Cluster) WaitReady() bool {
+	for end := time.Now().Add(readyTime); time.Now().Before(end); time.Sleep(readyPoll) {
+		if x.ready() {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *Cluster) ready() bool {
+	now := time.Now()
+	owned := map[string]bool{}
+	for _, d := range x.Daemons {
+		v := d.View()
+		if !v.Takes() {
+			return false
+		}
+		for id := range v.Leases() {
+			owned[id] = owned[id] || v.Lease(id, now).Held
+		}
+	}
+	for id := range x.Backends {
+		if !owned[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends all daemons. Everything that they started has ended when it returns.
+func (x *Cluster) Stop() {
+	var g sync.WaitGroup
+	for _, d := range x.Daemons {
+		g.Go(d.Stop)
+	}
+	g.Wait()
+	x.Net.group.Wait()
+}
+
+// entry returns a VM that callers would be told to use.
+func (x *Cluster) entry() *shuntdaemon.Daemon {
+	for range x.Daemons {
+		d := x.Daemons[x.random.Below(len(x.Daemons))]
+		if es := shuntentry.Entries(d.View(), "", "", x.random); len(es) > 0 {
+			return x.daemon(es[x.random.Below(len(es))].Name)
+		}
+	}
+	return x.Daemons[0]
+}
+
+func (x *Cluster) daemon(name string) *shuntdaemon.Daemon {
+	for _, d := range x.Daemons {
+		if d.Name() == name {
+			return d
+		}
+	}
+	return nil
+}
+
+// Ask sends an idempotent query through a VM that serves, and checks its answer.
+func (x *Cluster) Ask(workspace, id, text string) shuntquery.Answer {
+	return x.AskAt(x.entry(), workspace, id, shuntentry.Request{Query: text, Idempotent: true})
+}
+
+// AskAt sends a request through one VM and checks its answer.
+func (x *Cluster) AskAt(d *shuntdaemon.Daemon, workspace, id string, r shuntentry.Request) shuntquery.Answer {
+	delay := x.config.Estate.ClientDelay
+	time.Sleep(delay)
+	a := d.Front().Ask(context.Background(), workspace, id, r, 0)
+	time.Sleep(delay)
+	snapshot := ""
+	if a.Snapshot.Version != 0 {
+		snapshot = a.Snapshot.String()
+	}
+	x.Log.CheckAnswer(a.Outcome.String(), snapshot, a.Answered, a.Rows, id, r.Query)
+	return a
+}
+
+// Stream is an open-loop load on one workspace.
+type Stream struct {
+	Workspace string
+	// Rate is in queries a second.
+	Rate float64
+	For  time.Duration
+	Seed uint64
+	// OnAnswer, when not nil, is told each answer.
+	OnAnswer func(due time.Time, a shuntquery.Answer)
+}
+
+// Run sends a stream and sums its answers up.
+func (x *Cluster) Run(s Stream) *shuntload.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), s.For)
+	defer cancel()
+	r := shuntload.NewResult(s.Workspace)
+	var mu sync.Mutex
+	shuntload.OpenLoop(ctx, s.Rate, s.Seed+x.config.Seed, func(n int, due time.Time) {
+		id := fmt.Sprintf("%s-%d-%d", s.Workspace, s.Seed, n)
+		a := x.Ask(s.Workspace, id, "find "+id)
+		took := time.Since(due)
+		mu.Lock()
+		defer mu.Unlock()
+		r.AddAnswer(a, took)
+		if s.OnAnswer != nil {
+			s.OnAnswer(due, a)
+		}
+	})
+	return r
+}
+
+// RunAll sends several streams at once.
+func (x *Cluster) RunAll(ss ...Stream) []*shuntload.Result {
+	out := make([]*shuntload.Result, len(ss))
+	var g sync.WaitGroup
+	for i, s := range ss {
+		g.Go(func() { out[i] = x.Run(s) })
+	}
+	g.Wait()
+	return out
+}
--- a/shuntload/result.go
+++ b/shuntload/result.go
@@ -6,6 +6,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"mulberryshunt.example/mulberryshunt/shuntcaller"
+	"mulberryshunt.example/mulberryshunt/shuntquery"
 )
 
 const (
@@ -42,14 +43,26 @@
 
 // Add books an answer that came took after the query was due.
 func (r *Result) Add(a shuntcaller.Answer, took time.Duration) {
-	r.Queries++
-	r.Outcomes[a.Outcome]++
-	if a.Outcome != "Complete" {
-		r.Reasons[a.Reason]++
-	}
+	r.add(a.Outcome, a.Reason, took)
 	r.Answered += a.Coverage.Answered
 	r.Total += a.Coverage.Total
 	r.Sent += a.SubRequests
+}
+
+// AddAnswer books an answer that did not travel over HTTP.
+func (r *Result) AddAnswer(a shuntquery.Answer, took time.Duration) {
+	r.add(a.Outcome.String(), a.Reason.String(), took)
+	r.Answered += a.Answered
+	r.Total += a.Total
+	r.Sent += a.Sent
+}
+
+func (r *Result) add(outcome, reason string, took time.Duration) {
+	r.Queries++
+	r.Outcomes[outcome]++
+	if outcome != "Complete" {
+		r.Reasons[reason]++
+	}
 	_ = r.Latencies.RecordValue(min(took.Microseconds(), histogramHigh))
 }
 
--- a/shuntoutcome/outcome.go
+++ b/shuntoutcome/outcome.go
@@ -50,6 +50,7 @@
 	BelowMinimum
 	BadRequest
 	ServerFault
+	Straggler
 	reasonCount
 )
 
@@ -95,6 +96,7 @@
 	PeerLost:       {"PeerLost", "The connection to the owner VM was lost.", "0.1"},
 	BelowMinimum:   {"BelowMinimum", "Coverage is below the workspace's MinimumCoverage.", "0.1"},
 	BadRequest:     {"BadRequest", "The request is malformed.", "0.1"},
+	Straggler:      {"Straggler", "The shard took far longer than its service usually does, and the workspace does not wait for all.", "0.1"},
 	ServerFault:    {"ServerFault", "The backend server answered with an error of its own.", "0.1"},
 }
 
--- a/shuntquery/coordinator.go
+++ b/shuntquery/coordinator.go
@@ -12,6 +12,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 // Sender sends sub-requests to the VMs that own their servers.
@@ -58,6 +59,8 @@
 	Guard   Guard
 	Metrics *Metrics
 	Policy  Policy
+	// Random is the source of choices; nil takes a random seed.
+	Random *shuntrandom.Source
 }
 
 // Coordinator runs queries. Each query runs on the goroutine of its caller.
@@ -78,7 +81,10 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics(nil)
 	}
-	return &Coordinator{config: c, replicas: NewReplicas()}
+	if c.Random == nil {
+		c.Random = shuntrandom.New(0)
+	}
+	return &Coordinator{config: c, replicas: NewReplicas(c.Random)}
 }
 
 // SetTree forgets what is no longer published.
--- a/shuntquery/replica.go
+++ b/shuntquery/replica.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 const (
@@ -33,13 +33,15 @@
 
 // Replicas holds what this VM saw of the backend servers, and chooses by it.
 type Replicas struct {
+	random *shuntrandom.Source
+
 	mu    sync.Mutex
 	stats map[string]*replicaStats
 }
 
 // NewReplicas returns Replicas that have seen nothing.
-func NewReplicas() *Replicas {
-	return &Replicas{stats: map[string]*replicaStats{}}
+func NewReplicas(random *shuntrandom.Source) *Replicas {
+	return &Replicas{random: random, stats: map[string]*replicaStats{}}
 }
 
 func (p *Replicas) get(id string) *replicaStats {
@@ -129,8 +131,8 @@
 	case 1:
 		return candidates[0], true
 	}
-	i := rand.IntN(len(candidates))
-	j := rand.IntN(len(candidates) - 1)
+	i := p.random.Below(len(candidates))
+	j := p.random.Below(len(candidates) - 1)
 	if j >= i {
 		j++
 	}
@@ -143,6 +145,24 @@
 	return a, true
 }
 
+// Best returns the candidate with the least expected time, each multiplied by
+// its penalty; false when there are none.
+func (p *Replicas) Best(candidates []shuntconfig.ServerPlace, penalty func(id string) float64, now time.Time) (shuntconfig.ServerPlace, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := -1
+	least := math.Inf(1)
+	for i, c := range candidates {
+		if s := p.get(c.ID()).score(now) * penalty(c.ID()); s < least {
+			best, least = i, s
+		}
+	}
+	if best < 0 {
+		return shuntconfig.ServerPlace{}, false
+	}
+	return candidates[best], true
+}
+
 // Keep forgets the servers that are not in t.
 func (p *Replicas) Keep(t *shuntconfig.Tree) {
 	p.mu.Lock()
--- a/shuntquery/run.go
+++ b/shuntquery/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,7 +20,10 @@
 	firstHedgeShare = 4
 	// stragglerFactor: an answer by deadline may leave without shards that
 	// take longer than this many times the service's 99th percentile.
-	stragglerFactor   = 4
+	stragglerFactor = 4
+	// stragglerShare: it leaves after one part in this many of its time at the
+	// soonest, however fast the service is.
+	stragglerShare    = 2
 	stragglerQuantile = 0.99
 	maxRedirects      = 3
 	redirectPause     = 20 * time.Millisecond
@@ -32,6 +34,9 @@
 	// and its hedge. The reply channel holds that many, so that a reply given
 	// on the query's own goroutine never blocks it.
 	maxOpen = 2
+	// triedPenalty is how many times slower than the server that keeps a shard
+	// waiting another one may be, and still get the hedge.
+	triedPenalty = 4.0
 )
 
 // shard is the state of one shard in a run.
@@ -45,7 +50,9 @@
 	// probe marks a shard that was sent to while the content was probed.
 	probe bool
 	// ran is true once an attempt ended without the certainty that it did not run.
-	ran       bool
+	ran bool
+	// hedgeDone: the hedge was sent or denied; hedged: it was sent.
+	hedgeDone bool
 	hedged    bool
 	redirects int
 	tried     map[string]bool
@@ -83,6 +90,7 @@
 	probing  bool
 	held     []int
 	refused  shuntoutcome.Reason
+	began    time.Time
 	deadline time.Time
 	budgets  *budgets
 
@@ -142,6 +150,7 @@
 // scatter sends the first attempt at every shard, one batch to each owner.
 func (r *run) scatter() {
 	now := time.Now()
+	r.began = now
 	all := make([]int, len(r.shards))
 	for i := range r.shards {
 		all[i] = i
@@ -269,6 +278,9 @@
 
 // choose picks a replica that was not tried yet, or any when all were.
 func (r *run) choose(h *shard, now time.Time) (shuntconfig.ServerPlace, bool) {
+	if h.open > 0 {
+		return r.chooseHedge(h, now)
+	}
 	all := usable(r.tree.Fleet(), h.plan, r.snapshot.ID, r.c.replicas, now)
 	fresh := make([]shuntconfig.ServerPlace, 0, len(all))
 	for _, p := range all {
@@ -280,11 +292,24 @@
 		all = fresh
 	}
 	if r.c.config.Policy.RandomReplica && len(all) > 0 {
-		return all[rand.IntN(len(all))], true
+		return all[r.c.config.Random.Below(len(all))], true
 	}
 	return r.c.replicas.Choose(all, now)
 }
 
+// chooseHedge picks the replica for a second attempt. Another server is better
+// than the one that is slow to answer, unless it is known to be slower by far;
+// then a second try at the same one, on another connection, is.
+func (r *run) chooseHedge(h *shard, now time.Time) (shuntconfig.ServerPlace, bool) {
+	all := usable(r.tree.Fleet(), h.plan, r.snapshot.ID, r.c.replicas, now)
+	return r.c.replicas.Best(all, func(id string) float64 {
+		if h.tried[id] {
+			return triedPenalty
+		}
+		return 1
+	}, now)
+}
+
 func (r *run) hedgeDelay(service string, now time.Time) time.Duration {
 	if d := r.c.config.Policy.HedgeDelay; d > 0 {
 		return d
@@ -359,6 +384,7 @@
 		return false
 	}
 	if p, ok := r.patience(); ok && !now.Before(p) {
+		r.leaveStragglers(now)
 		return false
 	}
 	var retry, hedge []int
@@ -369,8 +395,9 @@
 		case !h.retryAt.IsZero() && !now.Before(h.retryAt):
 			retry = append(retry, i)
 		case r.mayHedge(h) && !now.Before(h.hedgeAt):
-			h.hedged = true
-			if r.hedgeTarget(h, now) && r.takeHedge() {
+			h.hedgeDone = true
+			if r.takeHedge() {
+				h.hedged = true
 				hedge = append(hedge, i)
 			}
 		}
@@ -392,14 +419,12 @@
 // mayHedge says whether a slow shard may get a second attempt: one at most,
 // only for idempotent queries, and never for a suspect of crashes.
 func (r *run) mayHedge(h *shard) bool {
-	return !h.hedged && h.open == 1 && r.query.Idempotent && !r.suspect && !r.probing &&
+	return !h.hedgeDone && h.open == 1 && r.query.Idempotent && !r.suspect && !r.probing &&
 		r.workspace.HedgeFraction > 0 && !r.c.config.Policy.NoHedge
 }
 
-// hedgeTarget says whether there is another server for a hedge. The second
-// attempt never goes to the server of the first, and so never shares its
-// connection.
-func (r *run) hedgeTarget(h *shard, now time.Time) bool {
+// untried says whether there is a replica that was not tried yet.
+func (r *run) untried(h *shard, now time.Time) bool {
 	for _, p := range usable(r.tree.Fleet(), h.plan, r.snapshot.ID, r.c.replicas, now) {
 		if !h.tried[p.ID()] {
 			return true
@@ -417,7 +442,7 @@
 	if answered == 0 || float64(answered) < r.workspace.MinimumCoverage*float64(len(r.shards)) {
 		return time.Time{}, false
 	}
-	var at time.Time
+	at := r.began.Add(r.deadline.Sub(r.began) / stragglerShare)
 	for i := range r.shards {
 		h := &r.shards[i]
 		if h.done || h.failed {
@@ -434,6 +459,13 @@
 	return at, true
 }
 
+// leaveStragglers gives up the shards that are still open.
+func (r *run) leaveStragglers(now time.Time) {
+	for i := range r.shards {
+		r.fail(&r.shards[i], shuntoutcome.Straggler, now)
+	}
+}
+
 // reply books a reply.
 func (r *run) reply(p shuntowner.SubReply, now time.Time) {
 	a, ok := r.attempts[p.Attempt]
@@ -564,12 +596,12 @@
 	}
 	r.c.config.Metrics.Retries.Inc()
 	r.answer.Retries++
-	if r.hedgeTarget(h, now) {
+	if r.untried(h, now) {
 		r.postpone(h, 0, now)
 		return
 	}
 	// Full jitter keeps the retries of many queries apart.
-	r.postpone(h, retryPause+rand.N(retryPause<<min(h.attempts, 5)), now)
+	r.postpone(h, retryPause+r.c.config.Random.Duration(retryPause<<min(h.attempts, 5)), now)
 }
 
 func (r *run) postpone(h *shard, d time.Duration, now time.Time) {
