--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -56,6 +56,8 @@
 	// baselines without owners.
 	Leases shuntowner.Leases
 	Router shuntquery.Router
+	// Guard takes the place of the daemon's own, for the same purpose.
+	Guard shuntquery.Guard
 	// OwnerPolicy, QueryPolicy and Admission vary the decisions for experiments.
 	OwnerPolicy shuntowner.Policy
 	QueryPolicy shuntquery.Policy
@@ -105,7 +107,7 @@
 		d.pool = shuntpeer.NewPool(shuntpeer.PoolConfig{Key: []byte(c.Settings.PeerKey), Dial: d.config.Dial})
 		d.config.Caller = d.pool
 	}
-	d.guard = shuntguard.New(d.metrics)
+	d.guard = shuntguard.New(shuntguard.Config{Metrics: d.metrics, OnCrash: func() { d.runner.SpreadSuspicions() }})
 	d.makeFleet()
 	d.makePath()
 	return d
@@ -158,6 +160,9 @@
 	if d.config.Router == nil {
 		d.config.Router = d.router
 	}
+	if d.config.Guard == nil {
+		d.config.Guard = d.guard
+	}
 	d.owner = shuntowner.NewOwner(shuntowner.OwnerConfig{
 		Connector: d.config.Connector,
 		Leases:    d.config.Leases,
@@ -175,7 +180,7 @@
 	d.coordinator = shuntquery.NewCoordinator(shuntquery.CoordinatorConfig{
 		Sender:  d.client,
 		Router:  d.config.Router,
-		Guard:   d.guard,
+		Guard:   d.config.Guard,
 		Metrics: shuntquery.NewMetrics(d.metrics),
 		Policy:  d.config.QueryPolicy,
 		Random:  d.random,
--- a/shuntfake/conn.go
+++ b/shuntfake/conn.go
@@ -122,6 +122,16 @@
 	return shuntowner.Response{}, &shuntowner.ConnError{Sent: true, Silent: silent, Err: err}
 }
 
+// Alive implements shuntowner.Conn.
+func (m *memoryConn) Alive() bool {
+	select {
+	case <-m.conn.dead:
+		return false
+	default:
+		return true
+	}
+}
+
 // Close implements shuntowner.Conn.
 func (m *memoryConn) Close() error {
 	m.conn.backend.forget(m.conn)
--- a/shuntfake/platform.go
+++ b/shuntfake/platform.go
@@ -84,6 +84,13 @@
 	p.changed = make(chan struct{})
 }
 
+// Down says whether calls fail.
+func (p *Platform) Down() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
 // SetStale makes Get answer with d instead of the newest version of its key.
 func (p *Platform) SetStale(d shuntconfig.Document) {
 	p.mu.Lock()
--- a/shuntfleet/control.go
+++ b/shuntfleet/control.go
@@ -117,6 +117,15 @@
 // its peers hold, and may serve.
 func (c *Control) Synced() { c.synced = true }
 
+// SpreadSuspicions sends the guard's table with heartbeats that are due at once.
+func (c *Control) SpreadSuspicions(now time.Time) {
+	for _, m := range c.members {
+		m.sentSuspicions = time.Time{}
+	}
+	c.nextBeat = now
+	c.nextFar = now
+}
+
 // Leave announces that the VM goes away.
 func (c *Control) Leave() { c.leaving = true }
 
--- a/shuntfleet/runner.go
+++ b/shuntfleet/runner.go
@@ -194,6 +194,11 @@
 // Synced books that the VM may serve.
 func (r *Runner) Synced() { r.post(func(time.Time) { r.control.Synced() }) }
 
+// SpreadSuspicions tells the other VMs at once of a content that crashes servers.
+func (r *Runner) SpreadSuspicions() {
+	r.post(func(now time.Time) { r.control.SpreadSuspicions(now) })
+}
+
 // Leave announces that the VM goes away.
 func (r *Runner) Leave() { r.post(func(time.Time) { r.control.Leave() }) }
 
--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -91,6 +91,7 @@
 
 // Guard is the table of one VM.
 type Guard struct {
+	onCrash     func()
 	crashes     *metrics.Counter
 	quarantines *metrics.Counter
 
@@ -110,12 +111,26 @@
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc { return []shuntmetric.Doc{docCrashes, docQuarantines} }
 
-// New returns a Guard that suspects nothing, with counters in set; nil is allowed.
-func New(set *metrics.Set) *Guard {
+// Config is what a Guard is made of.
+type Config struct {
+	// Metrics gets the counters; nil is allowed.
+	Metrics *metrics.Set
+	// OnCrash is called after each crash, so that the others learn of it at
+	// once; nil is allowed.
+	OnCrash func()
+}
+
+// New returns a Guard that suspects nothing.
+func New(c Config) *Guard {
+	set := c.Metrics
 	if set == nil {
 		set = metrics.NewSet()
 	}
+	if c.OnCrash == nil {
+		c.OnCrash = func() {}
+	}
 	return &Guard{
+		onCrash:     c.OnCrash,
 		crashes:     shuntmetric.Counter(set, docCrashes, ""),
 		quarantines: shuntmetric.Counter(set, docQuarantines, ""),
 		suspects:    map[uint64]*suspicion{},
@@ -175,6 +190,7 @@
 // servers at once.
 func (g *Guard) Crashed(fingerprint uint64, server string, suspect bool) Verdict {
 	g.crashes.Inc()
+	defer g.onCrash()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/shuntlab/cluster.go
+++ b/shuntlab/cluster.go
@@ -10,6 +10,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntdaemon"
 	"mulberryshunt.example/mulberryshunt/shuntentry"
 	"mulberryshunt.example/mulberryshunt/shuntfake"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntload"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
 	"mulberryshunt.example/mulberryshunt/shuntquery"
@@ -37,6 +38,8 @@
 	OwnerPolicy shuntowner.Policy
 	QueryPolicy shuntquery.Policy
 	Admission   shuntentry.AdmissionConfig
+	// NoGuard takes the guard against requests that crash servers away.
+	NoGuard bool
 	// Direct lets every VM send to every backend server itself; for baselines
 	// without owners.
 	Direct bool
@@ -158,6 +161,9 @@
 		QueryPolicy: x.config.QueryPolicy,
 		Admission:   x.config.Admission,
 	}
+	if x.config.NoGuard {
+		c.Guard = noGuard{}
+	}
 	if x.config.Direct {
 		c.Leases, c.Router = direct{}, direct{vm: v.Name}
 	}
@@ -167,6 +173,21 @@
 	d.StartFleet()
 }
 
+// noGuard lets everything through.
+type noGuard struct{}
+
+// Admit implements shuntquery.Guard.
+func (noGuard) Admit(uint64, shuntconfig.Canary) shuntguard.Verdict { return shuntguard.Verdict{} }
+
+// Release implements shuntquery.Guard.
+func (noGuard) Release(uint64) {}
+
+// Crashed implements shuntquery.Guard.
+func (noGuard) Crashed(uint64, string, bool) shuntguard.Verdict { return shuntguard.Verdict{} }
+
+// Cleared implements shuntquery.Guard.
+func (noGuard) Cleared(uint64) {}
+
 // direct makes a VM the owner of every server in its own eyes.
 type direct struct{ vm string }
 
--- a/shuntlab/measure_test.go
+++ b/shuntlab/measure_test.go
@@ -28,6 +28,23 @@
 // measured runs f in virtual time, checks that no promise was broken, and
 // returns the reports.
 func measured(t *testing.T, name string, f func(t *testing.T) (*Cluster, []*shuntload.Result)) []shuntload.Report {
+	t.Helper()
+	return run(t, name, f, func(t *testing.T, x *Cluster) {
+		if v := x.Log.Violations(); v.Total() > 0 {
+			t.Errorf("%s: %+v: %v", name, v, x.Log.Notes())
+		}
+	})
+}
+
+// baseline does the same for a baseline, which may break promises.
+func baseline(t *testing.T, name string, f func(t *testing.T) (*Cluster, []*shuntload.Result)) []shuntload.Report {
+	t.Helper()
+	return run(t, name, f, func(_ *testing.T, x *Cluster) {
+		fmt.Printf("%-34s promises broken: %d\n", name, x.Log.Violations().Total())
+	})
+}
+
+func run(t *testing.T, name string, f func(t *testing.T) (*Cluster, []*shuntload.Result), check func(*testing.T, *Cluster)) []shuntload.Report {
 	t.Helper()
 	var out []shuntload.Report
 	synctest.Test(t, func(t *testing.T) {
@@ -36,9 +53,7 @@
 		for _, r := range rs {
 			out = append(out, shuntload.NewReport(r))
 		}
-		if v := x.Log.Violations(); v.Total() > 0 {
-			t.Errorf("%s: %+v: %v", name, v, x.Log.Notes())
-		}
+		check(t, x)
 		c := x.Log.Counts()
 		fmt.Printf("%-34s arrivals %d, sheds %d, crashes %d\n", name, c.Arrivals, c.Sheds, c.Crashes)
 	})
--- a/shuntowner/backend.go
+++ b/shuntowner/backend.go
@@ -58,6 +58,9 @@
 	// Do sends r and waits for the response. A non-nil error is a *ConnError;
 	// the connection is then of no further use.
 	Do(ctx context.Context, r SubRequest) (Response, error)
+	// Alive says whether the other end has, as far as is known here, not
+	// closed the connection while it was idle.
+	Alive() bool
 	// Close closes the connection.
 	Close() error
 }
--- a/shuntowner/gate.go
+++ b/shuntowner/gate.go
@@ -382,12 +382,14 @@
 	return &slot{fresh: true, cold: true, until: l.Until.Add(-expiryMargin)}, refusal{}
 }
 
-// takeLast returns the connection used last, and closes those unused too long.
+// takeLast returns the connection used last, and closes those unused too long
+// and those that the server has closed. A request must not find out: it could
+// not be told from one that the server died of.
 func (g *Gate) takeLast(from *[]*pooled, now time.Time) *pooled {
 	for n := len(*from); n > 0; n = len(*from) {
 		c := (*from)[n-1]
 		*from = (*from)[:n-1]
-		if now.Sub(c.lastUsed) < idleLimit {
+		if now.Sub(c.lastUsed) < idleLimit && c.conn.Alive() {
 			return c
 		}
 		_ = c.conn.Close()
--- a/shuntquery/coordinator.go
+++ b/shuntquery/coordinator.go
@@ -98,6 +98,14 @@
 	return l.(*Latencies)
 }
 
+// typical returns the median latency of a service.
+func (c *Coordinator) typical(service string) time.Duration {
+	if d, ok := c.latenciesOf(service).Quantile(0.5); ok {
+		return d
+	}
+	return firstLatency
+}
+
 func (c *Coordinator) budgetsOf(workspace string) *budgets {
 	if b, ok := c.budgets.Load(workspace); ok {
 		return b.(*budgets)
--- a/shuntquery/replica.go
+++ b/shuntquery/replica.go
@@ -14,8 +14,9 @@
 	// forgetting is the time in which what was seen of a server loses half of
 	// its weight, so that a server once slow is tried again.
 	forgetting = 10 * time.Second
-	// firstLatency is what a server without samples is taken to need.
-	firstLatency = 5 * time.Millisecond
+	// firstLatency is what a server without samples is taken to need while
+	// nothing is known of its service.
+	firstLatency = 20 * time.Millisecond
 	failureCost  = 200 * time.Millisecond
 	// goneTime is how long a server is taken to lack a snapshot after it said so.
 	goneTime = time.Second
@@ -26,8 +27,10 @@
 	latency  float64
 	seen     time.Time
 	inFlight int
-	// queued is the load that the owner reported last.
-	queued int
+	// load and window are what the owner reported last: requests in flight or
+	// queued there, and how many may be in flight.
+	load   int
+	window int
 	gone   map[shuntconfig.SnapshotID]time.Time
 }
 
@@ -47,19 +50,32 @@
 func (p *Replicas) get(id string) *replicaStats {
 	s, ok := p.stats[id]
 	if !ok {
-		s = &replicaStats{latency: firstLatency.Seconds()}
+		// A server not seen yet may be cold.
+		s = &replicaStats{window: 1}
 		p.stats[id] = s
 	}
 	return s
 }
 
-// score estimates how long a new request would take, in seconds. A latency
-// seen long ago counts less; what is unknown is taken as usual.
-func (s *replicaStats) score(now time.Time) float64 {
-	age := now.Sub(s.seen).Seconds() / forgetting.Seconds()
-	weight := math.Exp2(-age)
-	l := weight*s.latency + (1-weight)*min(s.latency, firstLatency.Seconds())
-	return l * float64(1+s.inFlight+s.queued)
+// score estimates how long a new request would take, in seconds, at a service
+// that usually takes typical. A latency seen long ago counts less; what is
+// unknown is taken as usual.
+func (s *replicaStats) score(typical float64, now time.Time) float64 {
+	l := typical
+	if s.latency > 0 {
+		age := now.Sub(s.seen).Seconds() / forgetting.Seconds()
+		weight := math.Exp2(-age)
+		l = weight*s.latency + (1-weight)*min(s.latency, typical)
+	}
+	// The request waits for those before it that exceed the window.
+	ahead := float64(1+s.inFlight+s.load) / float64(max(1, s.window))
+	return l * max(1, ahead)
+}
+
+// Load is an owner's report of a server. A Window of 0 reports nothing.
+type Load struct {
+	Requests int
+	Window   int
 }
 
 // Started books an attempt.
@@ -71,8 +87,8 @@
 
 // GivenUp books an attempt that was cancelled or ran out of time: the server
 // needs at least that long, and one such sample is enough to believe it.
-func (p *Replicas) GivenUp(id string, atLeast time.Duration, queued int, now time.Time) {
-	p.Finished(id, 0, queued, now)
+func (p *Replicas) GivenUp(id string, atLeast time.Duration, at Load, now time.Time) {
+	p.Finished(id, 0, at, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.get(id)
@@ -82,15 +98,20 @@
 
 // Finished books the end of an attempt. A latency of 0 says nothing of the
 // server's speed.
-func (p *Replicas) Finished(id string, latency time.Duration, queued int, now time.Time) {
+func (p *Replicas) Finished(id string, latency time.Duration, at Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.get(id)
 	s.inFlight = max(0, s.inFlight-1)
-	s.queued = queued
+	if at.Window > 0 {
+		s.load, s.window = at.Requests, at.Window
+	}
 	if latency <= 0 {
 		return
 	}
+	if s.latency == 0 {
+		s.latency = latency.Seconds()
+	}
 	s.latency += replicaAlpha * (latency.Seconds() - s.latency)
 	s.seen = now
 }
@@ -135,7 +156,7 @@
 // Choose returns the better of two random ones of the candidates by the
 // expected time; false when there are none. Two choices, not the best of all,
 // keep the VMs from all turning to the same server at once.
-func (p *Replicas) Choose(candidates []shuntconfig.ServerPlace, now time.Time) (shuntconfig.ServerPlace, bool) {
+func (p *Replicas) Choose(candidates []shuntconfig.ServerPlace, typical time.Duration, now time.Time) (shuntconfig.ServerPlace, bool) {
 	switch len(candidates) {
 	case 0:
 		return shuntconfig.ServerPlace{}, false
@@ -150,7 +171,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a, b := candidates[i], candidates[j]
-	if p.get(b.ID()).score(now) < p.get(a.ID()).score(now) {
+	t := typical.Seconds()
+	if p.get(b.ID()).score(t, now) < p.get(a.ID()).score(t, now) {
 		return b, true
 	}
 	return a, true
@@ -158,13 +180,13 @@
 
 // Best returns the candidate with the least expected time, each multiplied by
 // its penalty; false when there are none.
-func (p *Replicas) Best(candidates []shuntconfig.ServerPlace, penalty func(id string) float64, now time.Time) (shuntconfig.ServerPlace, bool) {
+func (p *Replicas) Best(candidates []shuntconfig.ServerPlace, penalty func(id string) float64, typical time.Duration, now time.Time) (shuntconfig.ServerPlace, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := -1
 	least := math.Inf(1)
 	for i, c := range candidates {
-		if s := p.get(c.ID()).score(now) * penalty(c.ID()); s < least {
+		if s := p.get(c.ID()).score(typical.Seconds(), now) * penalty(c.ID()); s < least {
 			best, least = i, s
 		}
 	}
--- a/shuntquery/run.go
+++ b/shuntquery/run.go
@@ -229,8 +229,8 @@
 func (r *run) crashed(server string, now time.Time) {
 	v := r.c.config.Guard.Crashed(r.print, server, r.suspect)
 	if v.Refused == shuntoutcome.None {
-		r.suspect = true
-		r.probing = true
+		r.suspect = r.suspect || v.Suspect
+		r.probing = r.probing || v.Canary
 		return
 	}
 	r.refused = v.Refused
@@ -298,7 +298,7 @@
 	if r.c.config.Policy.RandomReplica && len(all) > 0 {
 		return all[r.c.config.Random.Below(len(all))], true
 	}
-	return r.c.replicas.Choose(all, now)
+	return r.c.replicas.Choose(all, r.c.typical(h.plan.Service), now)
 }
 
 // chooseHedge picks the replica for a second attempt. Another server is better
@@ -311,7 +311,7 @@
 			return triedPenalty
 		}
 		return 1
-	}, now)
+	}, r.c.typical(h.plan.Service), now)
 }
 
 func (r *run) hedgeDelay(service string, now time.Time) time.Duration {
@@ -338,7 +338,7 @@
 	case r.replies <- p:
 	case <-r.ended:
 		r.c.config.Metrics.Late.Inc()
-		r.c.replicas.Finished(p.Server, 0, p.InFlight, time.Now())
+		r.c.replicas.Finished(p.Server, 0, Load{}, time.Now())
 	}
 }
 
@@ -514,15 +514,16 @@
 // observe keeps what the reply tells of the server.
 func (r *run) observe(a *attempt, p shuntowner.SubReply, now time.Time) {
 	took := now.Sub(a.sent)
+	at := Load{Requests: p.InFlight, Window: p.Window}
 	switch {
 	case p.Outcome == shuntoutcome.Complete:
 		r.c.latenciesOf(r.shards[a.shard].plan.Service).Add(took)
-		r.c.replicas.Finished(a.server, took, p.InFlight, now)
+		r.c.replicas.Finished(a.server, took, at, now)
 		return
 	case p.Reason == shuntoutcome.Cancelled, p.Reason == shuntoutcome.DeadlinePassed:
-		r.c.replicas.GivenUp(a.server, took, p.InFlight, now)
+		r.c.replicas.GivenUp(a.server, took, at, now)
 	default:
-		r.c.replicas.Finished(a.server, 0, p.InFlight, now)
+		r.c.replicas.Finished(a.server, 0, at, now)
 	}
 	switch p.Reason {
 	case shuntoutcome.SnapshotGone:
