--- a/shuntquery/replica.go
+++ b/shuntquery/replica.go
@@ -18,6 +18,9 @@
 	// nothing is known of its service.
 	firstLatency = 20 * time.Millisecond
 	failureCost  = 200 * time.Millisecond
+	// choiceExponent: of two servers, one with twice the expected time is
+	// chosen two to this power less often.
+	choiceExponent = 4
 	// goneTime is how long a server is taken to lack a snapshot after it said so.
 	goneTime = time.Second
 )
@@ -27,6 +30,8 @@
 	latency  float64
 	seen     time.Time
 	inFlight int
+	// network is the time on the way to the owner and back, in seconds.
+	network float64
 	// load and window are what the owner reported last: requests in flight or
 	// queued there, and how many may be in flight.
 	load   int
@@ -85,6 +90,21 @@
 	p.get(id).inFlight++
 }
 
+// Travelled books the time that a reply and its request spent on the way.
+func (p *Replicas) Travelled(id string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(id)
+	s.network += replicaAlpha * (max(0, d.Seconds()) - s.network)
+}
+
+// Network returns the usual time to a server's owner and back.
+func (p *Replicas) Network(id string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.get(id).network * float64(time.Second))
+}
+
 // GivenUp books an attempt that was cancelled or ran out of time: the server
 // needs at least that long, and one such sample is enough to believe it.
 func (p *Replicas) GivenUp(id string, atLeast time.Duration, at Load, now time.Time) {
@@ -153,9 +173,10 @@
 	return ok && now.Sub(t) <= goneTime
 }
 
-// Choose returns the better of two random ones of the candidates by the
-// expected time; false when there are none. Two choices, not the best of all,
-// keep the VMs from all turning to the same server at once.
+// Choose returns one of two random candidates, the one with the shorter
+// expected time more likely by far; false when there are none. What a VM knows
+// of a server's load is as old as the last reply: were the better one taken
+// each time, all VMs would turn to the same server at once.
 func (p *Replicas) Choose(candidates []shuntconfig.ServerPlace, typical time.Duration, now time.Time) (shuntconfig.ServerPlace, bool) {
 	switch len(candidates) {
 	case 0:
@@ -172,7 +193,9 @@
 	defer p.mu.Unlock()
 	a, b := candidates[i], candidates[j]
 	t := typical.Seconds()
-	if p.get(b.ID()).score(t, now) < p.get(a.ID()).score(t, now) {
+	x := math.Pow(p.get(a.ID()).score(t, now), choiceExponent)
+	y := math.Pow(p.get(b.ID()).score(t, now), choiceExponent)
+	if p.random.Float64()*(x+y) < x {
 		return b, true
 	}
 	return a, true
--- a/shuntquery/run.go
+++ b/shuntquery/run.go
@@ -267,13 +267,14 @@
 	r.c.replicas.Started(server)
 	klog.V(2).InfoS("Attempt placed", "query", r.query.ID, "attempt", r.next, "shard", h.plan.Name, "server", server, "owner", vm)
 	return shuntowner.SubRequest{
-		Query:      r.query.ID,
-		Attempt:    r.next,
-		Server:     server,
-		Shard:      h.plan.Name,
-		Snapshot:   r.snapshot.ID,
-		Class:      r.workspace.Class,
-		Deadline:   r.deadline,
+		Query:    r.query.ID,
+		Attempt:  r.next,
+		Server:   server,
+		Shard:    h.plan.Name,
+		Snapshot: r.snapshot.ID,
+		Class:    r.workspace.Class,
+		// What comes later would reach this VM too late.
+		Deadline:   r.deadline.Add(-r.c.replicas.Network(server)),
 		Idempotent: r.query.Idempotent,
 		Suspect:    r.suspect,
 		Body:       r.query.Body,
@@ -514,6 +515,9 @@
 // observe keeps what the reply tells of the server.
 func (r *run) observe(a *attempt, p shuntowner.SubReply, now time.Time) {
 	took := now.Sub(a.sent)
+	if p.Latency > 0 {
+		r.c.replicas.Travelled(a.server, took-p.Latency)
+	}
 	at := Load{Requests: p.InFlight, Window: p.Window}
 	switch {
 	case p.Outcome == shuntoutcome.Complete:
--- a/shuntrandom/source.go
+++ b/shuntrandom/source.go
@@ -29,6 +29,13 @@
 	return s.rand.IntN(n)
 }
 
+// Float64 returns a number from 0 up to 1, without 1.
+func (s *Source) Float64() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rand.Float64()
+}
+
 // Duration returns a duration from 0 up to d, without d. It returns 0 for a d
 // that is not above 0.
 func (s *Source) Duration(d time.Duration) time.Duration {
