Measure capacity slopes on loopback TCP; cut idle cost

Cause: a control step ran for every event, and idle connections were pinged. Change: control steps only when something is due; pings only while calls wait; the platform's VM list is polled, often only while no other VM is heard.

--- a/shuntcommand/command.go
+++ b/shuntcommand/command.go
@@ -66,6 +66,7 @@
 		loadCommand(),
 		statusCommand(),
 		explainCommand(),
+		capacityCommand(),
 		docsCommand(),
 	}
 }
--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -71,20 +71,21 @@
 
 // Daemon is one VM's part of the system.
 type Daemon struct {
-	config      Config
-	start       string
-	random      *shuntrandom.Source
-	metrics     *metrics.Set
-	guard       *shuntguard.Guard
-	runner      *shuntfleet.Runner
-	sync        *shuntfleet.Sync
-	router      *shuntfleet.Router
-	owner       *shuntowner.Owner
-	ownerCalls  *shuntowner.Service
-	client      *shuntowner.Client
-	coordinator *shuntquery.Coordinator
-	front       *shuntentry.Front
-	pool        *shuntpeer.Pool
+	config       Config
+	start        string
+	random       *shuntrandom.Source
+	metrics      *metrics.Set
+	guard        *shuntguard.Guard
+	runner       *shuntfleet.Runner
+	sync         *shuntfleet.Sync
+	router       *shuntfleet.Router
+	owner        *shuntowner.Owner
+	ownerCalls   *shuntowner.Service
+	client       *shuntowner.Client
+	coordinator  *shuntquery.Coordinator
+	front        *shuntentry.Front
+	pool         *shuntpeer.Pool
+	fleetMetrics *shuntfleet.Metrics
 
 	group  sync.WaitGroup
 	cancel context.CancelFunc
@@ -116,6 +117,7 @@
 func (d *Daemon) makeFleet() {
 	s := d.config.Settings
 	m := shuntfleet.NewMetrics(d.metrics)
+	d.fleetMetrics = m
 	d.runner = shuntfleet.NewRunner(shuntfleet.RunnerConfig{
 		Control: shuntfleet.ControlConfig{
 			VM:       s.Name,
@@ -232,6 +234,15 @@
 // Metrics returns the VM's counters.
 func (d *Daemon) Metrics() *metrics.Set { return d.metrics }
 
+// Messages returns the number of messages of queries that the VM sent to
+// others: batches, and early replies to batches.
+func (d *Daemon) Messages() float64 {
+	return float64(d.client.Sent() + d.ownerCalls.Delivered())
+}
+
+// Beats returns the number of heartbeats that the VM sent.
+func (d *Daemon) Beats() float64 { return float64(d.fleetMetrics.Beats.Get()) }
+
 // Name returns the VM's name.
 func (d *Daemon) Name() string { return d.config.Settings.Name }
 
@@ -259,6 +270,7 @@
 	d.cancel = cancel
 	d.group.Go(func() { d.runner.Run(ctx) })
 	d.group.Go(func() { d.sync.Run(ctx) })
+	d.group.Go(func() { d.sync.PollVMs(ctx) })
 }
 
 // Start listens and starts everything. It returns once all listeners are open.
--- a/shuntfleet/control.go
+++ b/shuntfleet/control.go
@@ -50,7 +50,10 @@
 	held      map[string]*holding
 	leaving   bool
 	synced    bool
-	sequence  uint64
+	// listedLeaving are the VMs that the platform's list, which lags, says
+	// are leaving.
+	listedLeaving map[string]bool
+	sequence      uint64
 
 	wants        []Resource
 	wantNames    []string
@@ -118,6 +121,9 @@
 // PlatformHeard books that the platform answered.
 func (c *Control) PlatformHeard(now time.Time) { c.platformHeard = now }
 
+// SetLeaving takes over which VMs the platform lists as leaving.
+func (c *Control) SetLeaving(vms map[string]bool) { c.listedLeaving = vms }
+
 // Synced books that the VM has learned the configuration that the platform or
 // its peers hold, and may serve.
 func (c *Control) Synced() { c.synced = true }
@@ -243,6 +249,11 @@
 	return now.Sub(last) >= isolatedAfter
 }
 
+// Due says whether a heartbeat is due before the next tick.
+func (c *Control) Due(now time.Time) bool {
+	return !now.Before(c.nextBeat) || !now.Before(c.nextFar)
+}
+
 // Tick brings wants, leases and view up to date and returns the heartbeats
 // that are due.
 func (c *Control) Tick(now time.Time) []Outgoing {
@@ -367,7 +378,9 @@
 		v.leases[id] = c.leaseState(id, v.voters, now)
 	}
 	for n, m := range c.members {
-		v.Peers = append(v.Peers, Peer{Name: n, Zone: m.vm.Zone, Status: m.status, Heard: m.heard, Live: m.live(now)})
+		s := m.status
+		s.Leaving = s.Leaving || c.listedLeaving[n]
+		v.Peers = append(v.Peers, Peer{Name: n, Zone: m.vm.Zone, Status: s, Heard: m.heard, Live: m.live(now)})
 	}
 	slices.SortFunc(v.Peers, func(a, b Peer) int {
 		if a.Name < b.Name {
--- a/shuntfleet/runner.go
+++ b/shuntfleet/runner.go
@@ -91,6 +91,9 @@
 			return
 		case f := <-r.events:
 			f(time.Now())
+			if !r.control.Due(time.Now()) {
+				continue
+			}
 		case <-t.C:
 		}
 		r.step(ctx)
@@ -191,6 +194,11 @@
 	r.post(func(now time.Time) { r.control.PlatformHeard(now) })
 }
 
+// SetLeaving takes over which VMs the platform lists as leaving.
+func (r *Runner) SetLeaving(vms map[string]bool) {
+	r.post(func(time.Time) { r.control.SetLeaving(vms) })
+}
+
 // Synced books that the VM may serve.
 func (r *Runner) Synced() { r.post(func(time.Time) { r.control.Synced() }) }
 
--- a/shuntfleet/sync.go
+++ b/shuntfleet/sync.go
@@ -23,6 +23,10 @@
 	// sharePause paces the documents that it reads after that.
 	sharePause = 200 * time.Millisecond
 	pollPause  = 100 * time.Millisecond
+	// pollVMsPause is the longest time between two readings of the VM list,
+	// pollVMsAlone the same while no other VM is heard.
+	pollVMsPause = 20 * time.Second
+	pollVMsAlone = time.Second
 	// staleTries is how often a document is read again when the platform
 	// answers with an older one than it announced.
 	staleTries = 5
@@ -76,6 +80,35 @@
 	}
 }
 
+// PollVMs reads the platform's list of VMs now and then until ctx ends: often
+// while no other VM is heard, since then only the platform can tell this VM
+// that it is not cut off.
+func (s *Sync) PollVMs(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.config.Metrics.PlatformCalls.Inc()
+		vms, err := s.config.Reader.VMs(ctx)
+		if err == nil {
+			s.config.Runner.PlatformHeard()
+			s.config.Runner.SetLeaving(leavingOf(vms))
+		}
+		every := pollVMsPause
+		if !s.config.Runner.View().hearsPeers() {
+			every = pollVMsAlone
+		}
+		pause(ctx, every/2+s.config.Random.Duration(every/2))
+	}
+}
+
+func leavingOf(vms []shuntplatform.VMStatus) map[string]bool {
+	out := map[string]bool{}
+	for _, v := range vms {
+		if v.State == shuntplatform.VMLeaving {
+			out[v.Name] = true
+		}
+	}
+	return out
+}
+
 // start learns the configuration from whoever answers first, and from every
 // seed that can be reached, so that the VM starts with the highest versions.
 func (s *Sync) start(ctx context.Context) {
--- a/shuntfleet/view.go
+++ b/shuntfleet/view.go
@@ -52,6 +52,16 @@
 	return !now.Before(until) || !now.Round(0).Before(until.Round(0))
 }
 
+// hearsPeers says whether any other VM was heard lately.
+func (v *View) hearsPeers() bool {
+	for _, p := range v.Peers {
+		if p.Live {
+			return true
+		}
+	}
+	return false
+}
+
 // Takes says whether the VM takes new work.
 func (v *View) Takes() bool {
 	return v.Self.Ready && !v.Isolated
--- a/shuntowner/client.go
+++ b/shuntowner/client.go
@@ -93,6 +93,9 @@
 	return b
 }
 
+// Sent returns the number of batches sent to other VMs.
+func (c *Client) Sent() uint64 { return c.calls.Load() }
+
 // Replies returns the receiver of the replies that owners deliver.
 func (c *Client) Replies() *Replies { return &Replies{c} }
 
--- a/shuntowner/service.go
+++ b/shuntowner/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -175,6 +176,8 @@
 type Service struct {
 	config ServiceConfig
 
+	delivered atomic.Uint64
+
 	mu    sync.Mutex
 	calls map[string]*call
 }
@@ -230,9 +233,13 @@
 	}
 }
 
+// Delivered returns the number of messages with early replies.
+func (s *Service) Delivered() uint64 { return s.delivered.Load() }
+
 // deliver sends replies to the caller of Run. What can't be delivered goes
 // with the last reply.
 func (s *Service) deliver(address, id string, c *call, replies []wireReply) {
+	s.delivered.Add(1)
 	ctx, cancel := context.WithTimeout(c.ctx, deliverTimeout)
 	defer cancel()
 	if err := s.config.Caller.Call(ctx, address, MethodDeliver, DeliverArgs{Call: id, Replies: replies}, &DeliverArgs{}); err != nil {
--- a/shuntpeer/client.go
+++ b/shuntpeer/client.go
@@ -225,8 +225,9 @@
 			ping, done = nil, nil
 		case <-t.C:
 		}
+		calls, idle := l.state()
 		switch {
-		case l.idle():
+		case idle:
 			return
 		case ping != nil && time.Since(answered) > silenceTimeout:
 			klog.InfoS("Peer connection silent; closing it", "address", l.address)
@@ -234,7 +235,8 @@
 				l.pool.config.OnSilent(l.address)
 			}
 			return
-		case ping == nil && time.Since(answered) >= pingInterval:
+		case ping == nil && calls > 0 && time.Since(answered) >= pingInterval:
+			// Only a call that waits makes it worth asking.
 			// The time before a ping is no silence of the peer's.
 			answered = time.Now()
 			done = make(chan *rpc.Call, 1)
@@ -243,10 +245,12 @@
 	}
 }
 
-func (l *link) idle() bool {
+// state returns the number of calls that wait, and whether the connection has
+// been unused for too long.
+func (l *link) state() (calls int, idle bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.calls == 0 && time.Since(l.used) > idleTimeout
+	return l.calls, l.calls == 0 && time.Since(l.used) > idleTimeout
 }
 
 func (l *link) drop(c *rpc.Client) {
