--- a/shuntcapacity/measure.go
+++ b/shuntcapacity/measure.go
@@ -50,6 +50,7 @@
 	warmupTime   = time.Second
 	idleTime     = 5 * time.Second
 	askers       = 16
+	settleTime   = 500 * time.Millisecond
 	measuredRows = 3
 	rowText      = 60
 )
@@ -167,12 +168,15 @@
 	return n
 }
 
+// heap returns the memory in use. What ended a moment ago is given the time to
+// be let go.
 func heap() float64 {
+	time.Sleep(settleTime)
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return float64(m.HeapInuse + m.StackInuse)
+	return float64(m.HeapAlloc + m.StackInuse)
 }
 
 // runInFlight returns the memory of one sub-request in flight: many queries
@@ -256,6 +260,10 @@
 		return s, err
 	}
 	fmt.Fprintf(out, "# in flight: %.0f bytes a sub-request\n", s.InFlightBytes)
+	if s.PeerBytes, err = runLinks(); err != nil {
+		return s, err
+	}
+	fmt.Fprintf(out, "# links: %.0f bytes each, both ends\n", s.PeerBytes)
 	s.DocumentBytes, s.ChangeMicroseconds = runDocuments()
 	fmt.Fprintf(out, "# documents: %.0f bytes each with 3 servers; a change costs %.3f us a server\n", s.DocumentBytes, s.ChangeMicroseconds)
 	return s, nil
--- a/shuntcommand/capacity.go
+++ b/shuntcommand/capacity.go
@@ -2,7 +2,7 @@
 
 import (
 	"flag"
-	"fmt"
+	"os"
 
 	"mulberryshunt.example/mulberryshunt/shuntcapacity"
 )
@@ -10,15 +10,59 @@
 func capacityCommand() command {
 	return command{
 		name: "capacity",
+		args: "[SLOPES-FILE]",
 		text: "work out what each role needs at a size of the fleet, from measured slopes",
 		flags: func(fs *flag.FlagSet) func(*env) error {
 			measure := fs.Bool("measure", false, "measure the slopes on this machine, about a minute, and print them as TOML")
+			compare := fs.Bool("compare", false, "compare the CPU of the whole path with that of a bare net/http fan-out")
+			markdown := fs.Bool("markdown", false, "print the table for a page")
+			today := fs.Bool("today", false, "take the size of today in place of the target")
+			cell := fs.Int("cell", 0, "VMs in a cell; 0 takes the size's own")
 			return func(e *env) error {
-				s, err := shuntcapacity.Measure(e.out)
-				_ = measure
-				fmt.Fprintf(e.out, "%+v\n", s)
-				return err
+				if *compare {
+					return shuntcapacity.Compare(e.out)
+				}
+				if *measure {
+					return runMeasure(e)
+				}
+				size := shuntcapacity.Target()
+				if *today {
+					size = shuntcapacity.Today()
+				}
+				if *cell > 0 {
+					size.CellVMs = *cell
+				}
+				return runCapacity(e, size, *markdown)
 			}
 		},
 	}
 }
+
+func runMeasure(e *env) error {
+	s, err := shuntcapacity.Measure(e.out)
+	if err != nil {
+		return err
+	}
+	return shuntcapacity.EncodeSlopes(e.out, s)
+}
+
+func runCapacity(e *env, size shuntcapacity.Size, markdown bool) error {
+	if len(e.args) != 1 {
+		return usage("give the file with the slopes, such as docs/slopes.toml")
+	}
+	body, err := os.ReadFile(e.args[0])
+	if err != nil {
+		return usage("%v", err)
+	}
+	s, err := shuntcapacity.DecodeSlopes(e.args[0], body)
+	if err != nil {
+		return usage("%v", err)
+	}
+	lines := size.Lines(s)
+	if markdown {
+		_, err := e.out.Write([]byte(shuntcapacity.Markdown(lines)))
+		return err
+	}
+	shuntcapacity.PrintText(e.out, lines)
+	return nil
+}
--- a/shuntfleet/placement.go
+++ b/shuntfleet/placement.go
@@ -13,7 +13,7 @@
 	// affinityBuckets splits the servers of one workspace, so that they spread
 	// over some cells but not over all of them. Fewer buckets mean fewer
 	// messages a query, more buckets a more even load of the cells.
-	affinityBuckets = 16
+	affinityBuckets = 8
 	// loadSlack is how far above the average the number of servers that one VM
 	// of a cell should own may lie.
 	loadSlackNumerator   = 5
--- a/shuntowner/gate.go
+++ b/shuntowner/gate.go
@@ -18,6 +18,9 @@
 	// idleLimit is how long an unused connection is kept. Middle boxes forget
 	// connections after longer than this.
 	idleLimit = 15 * time.Second
+	// aliveAfter is how long a connection must have been idle before it is
+	// looked at: a busy one would cost a system call for each request.
+	aliveAfter = 10 * time.Millisecond
 	// closeGrace is how long a closed request still counts against a cold
 	// server after its deadline; the server may notice late.
 	closeGrace       = 100 * time.Millisecond
@@ -389,7 +392,8 @@
 	for n := len(*from); n > 0; n = len(*from) {
 		c := (*from)[n-1]
 		*from = (*from)[:n-1]
-		if now.Sub(c.lastUsed) < idleLimit && c.conn.Alive() {
+		idle := now.Sub(c.lastUsed)
+		if idle < idleLimit && (idle < aliveAfter || c.conn.Alive()) {
 			return c
 		}
 		_ = c.conn.Close()
--- a/shuntowner/service.go
+++ b/shuntowner/service.go
@@ -24,7 +24,8 @@
 )
 
 const (
-	// linger is how long a reply waits for others to share a message with.
+	// linger is how long a reply waits for others to share a message with. The
+	// last reply of a batch never waits, and a query waits for its slowest.
 	linger   = time.Millisecond
 	maxBatch = 4096
 )
