Check lease histories and configuration under outages

Change: a promise to another life of the asker is answered with no name. The platform is tried again at least every 8 s, so that a change is in force within 10 s of an outage's end.

--- a/shuntcapacity/model.go
+++ b/shuntcapacity/model.go
@@ -218,7 +218,7 @@
 	return []Line{
 		line("entry", "queries", fmt.Sprintf("%.0f/s a VM", perVM), "callers choose among the addresses of /v1/entries"),
 		line("entry", "sub-requests", fmt.Sprintf("%.0f/s a VM", subs), "scatter, one attempt a shard; hedges 5%, retries 10% at most"),
-		line("entry", "messages a query", fmt.Sprintf("%.0f owners; %.0f without batching", b.Owners, b.Unbatched), "batches by owner; workspaces in 16 affinity buckets over the cells"),
+		line("entry", "messages a query", fmt.Sprintf("%.0f owners; %.0f without batching", b.Owners, b.Unbatched), fmt.Sprintf("batches by owner; workspaces in %d affinity buckets over the cells", shuntfleet.AffinityBuckets)),
 		traffic,
 		line("entry and owner", "CPU without batching", fmt.Sprintf("%.2f cores", unbatched), "for comparison"),
 		line("entry and owner", "memory in flight", fmt.Sprintf("%.0f MB for %.0f sub-requests", inFlight*x.InFlightBytes/megabyte, inFlight), "admission limits, bounded queues"),
@@ -286,6 +286,15 @@
 	}
 }
 
+// partedLine tells of regions that lose each other.
+func (s Size) partedLine() Line {
+	if s.CellVMs < s.VMs {
+		return line("regions apart", "leases", "kept: cells lie within a region", "each region answers from its own replicas, and says which shards it lacks")
+	}
+	return line("regions apart", "leases", "kept by the side with a majority of the cell, if there is one",
+		"the others go on at warm servers, each VM with its share of the window over connections that it has")
+}
+
 func (s Size) failureLines(x Slopes, b Batching) []Line {
 	lost := float64(s.VMs) / float64(s.Zones)
 	left := float64(s.VMs) - lost
@@ -297,7 +306,7 @@
 		line("zone lost at peak", "VMs and servers gone", fmt.Sprintf("%.0f VMs, %.0f backend servers", lost, float64(s.Servers)/float64(s.Zones)), "other replicas; retries within the budget"),
 		cpu,
 		line("zone lost at peak", "servers without an owner", fmt.Sprintf("at most %.1f s", takeoverSeconds), "leases of 2 s run out; a cell spans the zones of a region, so a majority is left"),
-		line("regions apart", "leases", "kept: cells lie within a region", "each region answers from its own replicas, and says which shards it lacks"),
+		s.partedLine(),
 		line("VM fails or is replaced", "per day", fmt.Sprintf("%d and %d: one every %.0f s", s.Failures, s.Replacements, secondsADay/float64(s.Failures+s.Replacements)), "a planned leave hands leases and state over; a failure waits for the lease"),
 	}
 }
--- a/shuntfleet/lease.go
+++ b/shuntfleet/lease.go
@@ -97,6 +97,11 @@
 	}
 	p, ok := v.promises[r]
 	live := ok && now.Before(p.until)
+	if live && p.to.VM == c.VM && p.to != c {
+		// The promise is to the process before this one, whose requests may
+		// still run. The name alone would read as a grant.
+		return ""
+	}
 	if live && p.to != c {
 		return p.to.VM
 	}
--- a/shuntfleet/placement.go
+++ b/shuntfleet/placement.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// affinityBuckets splits the servers of one workspace, so that they spread
+	// AffinityBuckets splits the servers of one workspace, so that they spread
 	// over some cells but not over all of them. Fewer buckets mean fewer
 	// messages a query, more buckets a more even load of the cells.
-	affinityBuckets = 8
+	AffinityBuckets = 8
 	// loadSlack is how far above the average the number of servers that one VM
 	// of a cell should own may lie.
 	loadSlackNumerator   = 5
@@ -93,7 +93,7 @@
 	if workspace == "" {
 		return service
 	}
-	return workspace + "/" + string(rune('A'+xxhash.Sum64String(service)%affinityBuckets))
+	return workspace + "/" + string(rune('A'+xxhash.Sum64String(service)%AffinityBuckets))
 }
 
 // nearCells returns the cells for servers of a zone: those with a VM in the
--- a/shuntfleet/sync.go
+++ b/shuntfleet/sync.go
@@ -13,7 +13,9 @@
 
 const (
 	backoffFirst = 200 * time.Millisecond
-	backoffLimit = 20 * time.Second
+	// backoffLimit keeps a change in force everywhere within ten seconds also
+	// right after the platform has come back.
+	backoffLimit = 8 * time.Second
 	// directKeys is how many documents a VM reads from the platform by itself.
 	// Of more it reads its share and has the others from other VMs, so that a
 	// fleet that starts at once stays within the platform's rate.
--- a/shuntlab/cluster.go
+++ b/shuntlab/cluster.go
@@ -13,6 +13,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntload"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shuntplatform"
 	"mulberryshunt.example/mulberryshunt/shuntquery"
 	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
@@ -43,6 +44,8 @@
 	// Direct lets every VM send to every backend server itself; for baselines
 	// without owners.
 	Direct bool
+	// Reader changes how a VM reads the platform; nil leaves it.
+	Reader func(vm string, r shuntplatform.Reader) shuntplatform.Reader
 	// Wrap changes a VM's connections to backend servers; nil leaves them.
 	Wrap func(vm string, c shuntowner.Connector) shuntowner.Connector
 }
@@ -161,6 +164,9 @@
 		QueryPolicy: x.config.QueryPolicy,
 		Admission:   x.config.Admission,
 	}
+	if x.config.Reader != nil {
+		c.Reader = x.config.Reader(v.Name, c.Reader)
+	}
 	if x.config.NoGuard {
 		c.Guard = noGuard{}
 	}
