--- a/shuntentry/service.go
+++ b/shuntentry/service.go
@@ -118,7 +118,7 @@
 	v := f.config.View()
 	p := v.Tree.Plan(workspace)
 	if p == nil {
-		return shuntquery.Refuse(q, shuntoutcome.NoWorkspace)
+		return refuseUnclaimed(q, r, shuntoutcome.NoWorkspace)
 	}
 	if wait <= 0 || wait > p.Workspace.Deadline {
 		wait = p.Workspace.Deadline
@@ -140,6 +140,16 @@
 	return f.once(ctx, v, p.Workspace, q, t)
 }
 
+// refuseUnclaimed refuses a request before its ticket was looked at. One with a
+// ticket may have run through another VM, so this VM can't say that it did not.
+func refuseUnclaimed(q shuntquery.Query, r Request, why shuntoutcome.Reason) shuntquery.Answer {
+	a := shuntquery.Refuse(q, why)
+	if _, ok := shuntclaim.ParseTicket(r.Ticket); ok && !r.Idempotent {
+		a.Outcome = shuntoutcome.Unknown
+	}
+	return a
+}
+
 // admit runs q if the VM takes work now.
 func (f *Front) admit(ctx context.Context, v *shuntfleet.View, w shuntconfig.Workspace, q shuntquery.Query) shuntquery.Answer {
 	// Counting comes before the look at refusing, so that a shutdown that
--- a/shuntlab/cluster.go
+++ b/shuntlab/cluster.go
@@ -220,6 +220,13 @@
 	x.Daemons[i].Stop()
 }
 
+// ReplaceVM lets a VM leave gracefully and starts another one in its place.
+func (x *Cluster) ReplaceVM(i int) {
+	x.Daemons[i].Shutdown(context.Background())
+	x.Net.Remove(x.fleet.VMs[i].PeerAddress)
+	x.StartVM(i)
+}
+
 // Fleet returns the fleet as published last.
 func (x *Cluster) Fleet() shuntconfig.Fleet { return x.fleet }
 
