Let the other shards go when a canary is slow but alive

Cause: after any server had died, a query of unknown content waited for its canary, always the first shard, which in the demonstration was the very server that restarted: Unknown with 0 of 20 shards. Change: the canary is a random shard, and the others follow after twice the hedge delay unless the content is a suspect. Answers that lack shards log them. Conclusion: slow is not dead.

--- a/shuntentry/service.go
+++ b/shuntentry/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,10 +111,32 @@
 	f.metrics.answered(workspace, a, time.Since(began))
 	f.remember(a)
 	klog.V(1).InfoS("Query answered", "query", id, "workspace", workspace, "outcome", a.Outcome, "reason", a.Reason,
-		"answered", a.Answered, "total", a.Total, "sent", a.Sent, "took", time.Since(began))
+		"answered", a.Answered, "total", a.Total, "sent", a.Sent, "hedges", a.Hedges, "retries", a.Retries, "took", time.Since(began))
+	if len(a.Missing) > 0 {
+		klog.V(1).InfoS("Shards missing", "query", id, "workspace", workspace, "vm", f.config.VM, "missing", describe(a))
+	}
 	return a
 }
 
+// describe tells of the missing shards of an answer, the first ones only.
+func describe(a shuntquery.Answer) string {
+	const most = 4
+	var b strings.Builder
+	for _, h := range a.Route {
+		if h.Reason == shuntoutcome.None {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(&b, "%s at %s by %s, %d attempts, %v", h.Shard, h.Server, h.Owner, h.Attempts, h.Reason)
+		if strings.Count(b.String(), ";") >= most-1 {
+			break
+		}
+	}
+	return b.String()
+}
+
 func (f *Front) ask(ctx context.Context, workspace, id string, r Request, wait time.Duration) shuntquery.Answer {
 	q := shuntquery.Query{ID: id, Workspace: workspace, Body: []byte(r.Query), Idempotent: r.Idempotent, Limit: r.Limit}
 	v := f.config.View()
--- a/shuntquery/run.go
+++ b/shuntquery/run.go
@@ -41,6 +41,9 @@
 	// scarceFill how full the budget is when the quantile begins to rise.
 	scarceQuantile = 0.98
 	scarceFill     = 0.5
+	// probeFactor times the hedge delay is how long the others wait for a
+	// probe that neither answers nor dies.
+	probeFactor = 2
 )
 
 // shard is the state of one shard in a run.
@@ -91,8 +94,11 @@
 	suspect bool
 	// probing: one attempt at a time, until one has succeeded. held are the
 	// shards that wait for it.
-	probing  bool
-	held     []int
+	probing bool
+	held    []int
+	// probeEnd is when the others go too though the probe has not answered,
+	// unless the content is a suspect: slow is not dead.
+	probeEnd time.Time
 	refused  shuntoutcome.Reason
 	began    time.Time
 	deadline time.Time
@@ -205,10 +211,13 @@
 		}
 	}
 	for len(r.held) > 0 {
-		i := r.held[0]
-		r.held = r.held[1:]
+		// Any shard will do; the first one of all would be hit each time.
+		k := r.c.config.Random.Below(len(r.held))
+		i := r.held[k]
+		r.held = append(r.held[:k], r.held[k+1:]...)
 		if h := &r.shards[i]; !h.done && !h.failed {
 			h.probe = true
+			r.probeEnd = time.Now().Add(probeFactor * r.hedgeDelay(h.plan.Service, time.Now()))
 			return []int{i}
 		}
 	}
@@ -386,6 +395,9 @@
 	if p, ok := r.patience(); ok && p.Before(at) {
 		at = p
 	}
+	if r.probing && !r.suspect && len(r.held) > 0 && r.probeEnd.Before(at) {
+		at = r.probeEnd
+	}
 	if at.Before(now) {
 		return now
 	}
@@ -401,6 +413,9 @@
 		r.leaveStragglers(now)
 		return false
 	}
+	if r.probing && !r.suspect && len(r.held) > 0 && !now.Before(r.probeEnd) {
+		r.probed(now)
+	}
 	var retry, hedge []int
 	for i := range r.shards {
 		h := &r.shards[i]
