--- a/shuntconfig/codec.go
+++ b/shuntconfig/codec.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -77,7 +78,7 @@
 	}
 	md, err := toml.NewDecoder(bytes.NewReader(body)).Decode(wire)
 	if err != nil {
-		return decodeError(k, err)
+		return decodeError(k, body, err)
 	}
 	if un := md.Undecoded(); len(un) > 0 {
 		name := un[0].String()
@@ -86,10 +87,18 @@
 	return nil
 }
 
-func decodeError(k Key, err error) error {
+// wrongType matches what the library says of a value of a wrong type; it has no
+// type of its own for that.
+var wrongType = regexp.MustCompile(`^toml: line \d+ \(last key "([^"]+)"\): (?:incompatible types: )?(.*)$`)
+
+func decodeError(k Key, body []byte, err error) error {
 	pe, ok := err.(toml.ParseError)
 	if !ok {
-		return &FieldError{k, "Document", "", "has a wrong type: " + err.Error()}
+		m := wrongType.FindStringSubmatch(err.Error())
+		if m == nil {
+			return &FieldError{k, "Document", "", "has a wrong type: " + err.Error()}
+		}
+		return &FieldError{k, m[1], undecodedValue(body, strings.Split(m[1], ".")), "has a wrong type: " + m[2]}
 	}
 	field := pe.LastKey
 	if field == "" {
--- a/shuntowner/client.go
+++ b/shuntowner/client.go
@@ -194,6 +194,9 @@
 		b.take(reply.Replies)
 	case ctx.Err() != nil:
 		b.Cancel()
+		// A late owner is not a lost one.
+		b.end(func(r SubRequest) SubReply { return r.Unknown(shuntoutcome.DeadlinePassed) })
+		return
 	}
 	b.end(func(r SubRequest) SubReply { return r.Unknown(shuntoutcome.PeerLost) })
 }
--- a/shuntpeer/client.go
+++ b/shuntpeer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
@@ -85,7 +86,7 @@
 	l := p.link(address)
 	c, err := l.connect(ctx)
 	if err != nil {
-		return errors.Wrap(err, errors.Annotatef(ErrNotSent, "dial %s: %v", address, err))
+		return fmt.Errorf("dial %s: %w: %w", address, ErrNotSent, err)
 	}
 	defer l.release()
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
