Dial again when a connection between VMs had ended before the call

Change: a call that net/rpc refuses up front because the other end had closed is dialled again; a connection that ends under a call is dropped at once.

--- a/shuntpeer/client.go
+++ b/shuntpeer/client.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +23,9 @@
 	silenceTimeout = 1200 * time.Millisecond
 	dialTimeout    = time.Second
 	idleTimeout    = 30 * time.Second
+	// maxDials is how often a call dials again because its connection turned
+	// out to have ended before.
+	maxDials = 3
 )
 
 // ErrNotSent says that a call failed before any byte of it was sent, so the
@@ -84,18 +89,17 @@
 // ErrNotSent means that the peer certainly did not see the call.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	l := p.link(address)
-	c, err := l.connect(ctx)
-	if err != nil {
-		return fmt.Errorf("dial %s: %w: %w", address, ErrNotSent, err)
-	}
-	defer l.release()
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		return call.Error
-	case <-ctx.Done():
-		return ctx.Err()
+	var err error
+	for range maxDials {
+		var c *client
+		if c, err = l.connect(ctx); err != nil {
+			return fmt.Errorf("dial %s: %w: %w", address, ErrNotSent, err)
+		}
+		if err = l.call(ctx, c, method, args, reply); !errors.Is(err, errEnded) {
+			return err
+		}
 	}
+	return fmt.Errorf("call %s: %w: %w", address, ErrNotSent, err)
 }
 
 // start runs f in the pool's group unless the pool is closed.
@@ -120,13 +124,50 @@
 	return l
 }
 
+// errEnded says that a connection had ended before the call was written to it.
+var errEnded = errors.New("connection had ended")
+
+// client is an open connection. closed is set before this end closes it.
+type client struct {
+	*rpc.Client
+	closed atomic.Bool
+}
+
+// close closes the connection.
+func (c *client) close() {
+	c.closed.Store(true)
+	_ = c.Client.Close()
+}
+
+// call makes one call over c.
+func (l *link) call(ctx context.Context, c *client, method string, args, reply any) error {
+	defer l.release()
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	switch {
+	case errors.Is(call.Error, rpc.ErrShutdown) && !c.closed.Load():
+		// The other end had closed the connection, and net/rpc refused the
+		// call up front. Had this end closed it, the same error could stand
+		// for a call that was cut.
+		l.drop(c)
+		return errEnded
+	case errors.Is(call.Error, rpc.ErrShutdown), errors.Is(call.Error, io.ErrUnexpectedEOF):
+		l.drop(c)
+	}
+	return call.Error
+}
+
 // link is the one connection to an address.
 type link struct {
 	pool    *Pool
 	address string
 
 	mu      sync.Mutex
-	client  *rpc.Client
+	client  *client
 	dialing chan struct{}
 	failure error
 	used    time.Time
@@ -138,7 +179,7 @@
 
 // connect returns the open client, or dials; callers that come during a dial
 // share its outcome. After success the caller must call release.
-func (l *link) connect(ctx context.Context) (*rpc.Client, error) {
+func (l *link) connect(ctx context.Context) (*client, error) {
 	l.mu.Lock()
 	if l.client != nil {
 		defer l.mu.Unlock()
@@ -191,7 +232,7 @@
 	l.watch(client, conn)
 }
 
-func (l *link) open() (*rpc.Client, net.Conn, error) {
+func (l *link) open() (*client, net.Conn, error) {
 	ctx, cancel := context.WithTimeout(l.pool.ctx, dialTimeout)
 	defer cancel()
 	conn, err := l.pool.config.Dial(ctx, l.address)
@@ -202,11 +243,11 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
-	return rpc.NewClientWithCodec(clientCodec{newFrames(conn)}), conn, nil
+	return &client{Client: rpc.NewClientWithCodec(clientCodec{newFrames(conn)})}, conn, nil
 }
 
 // watch pings the connection and closes it when it is silent or unused.
-func (l *link) watch(c *rpc.Client, conn net.Conn) {
+func (l *link) watch(c *client, conn net.Conn) {
 	defer conn.Close()
 	defer l.drop(c)
 	t := time.NewTicker(pingInterval)
@@ -254,12 +295,12 @@
 	return l.calls, l.calls == 0 && time.Since(l.used) > idleTimeout
 }
 
-func (l *link) drop(c *rpc.Client) {
+func (l *link) drop(c *client) {
 	l.mu.Lock()
 	if l.client == c {
 		l.client = nil
 		l.failure = errors.New("connection closed")
 	}
 	l.mu.Unlock()
-	_ = c.Close()
+	c.close()
 }
--- a/shuntpeer/peer_test.go
+++ b/shuntpeer/peer_test.go
@@ -223,3 +223,35 @@
 		c.stop()
 	})
 }
+
+// TestRestartedPeer: the process at an address ends and another one takes its
+// place; the first call after that reaches it, and none is lost on the old
+// connection.
+func TestRestartedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		key := []byte("the right key of the fleet")
+		c := startPeer(t, string(key))
+		current := c
+		p := NewPool(PoolConfig{Key: key, Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			return current.listener.dial(ctx, a)
+		}})
+		var out string
+		if err := p.Call(context.Background(), "peer", "Echo.Say", "one", &out); err != nil {
+			t.Fatal(err)
+		}
+		c.stop()
+		synctest.Wait()
+		var out2 string
+		if err := p.Call(context.Background(), "peer", "Echo.Say", "two", &out2); !errors.Is(err, ErrNotSent) {
+			t.Errorf("with no process there the call gave %v", err)
+		}
+		current = startPeer(t, string(key))
+		for _, say := range []string{"three", "four"} {
+			if err := p.Call(context.Background(), "peer", "Echo.Say", say, &out2); err != nil || out2 != say {
+				t.Errorf("got %q, %v; want %q", out2, err, say)
+			}
+		}
+		p.Close()
+		current.stop()
+	})
+}
