Start goroutines through a group that may be closed while calls still come

Cause: the race detector found sync.WaitGroup.Go against Wait in the owner when a VM ends: calls from other VMs come until the last moment. Change: shuntgroup.Group refuses new goroutines once it is closed; what is refused is answered NotRun by ShuttingDown.

--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +17,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntentry"
 	"mulberryshunt.example/mulberryshunt/shuntfleet"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntoperator"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
@@ -87,7 +87,7 @@
 	pool         *shuntpeer.Pool
 	fleetMetrics *shuntfleet.Metrics
 
-	group  sync.WaitGroup
+	group  shuntgroup.Group
 	cancel context.CancelFunc
 	ends   []func(context.Context)
 }
@@ -401,7 +401,7 @@
 	}
 	d.client.Wait()
 	d.owner.Wait()
-	d.group.Wait()
+	d.group.Close()
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/shuntfleet/runner.go
+++ b/shuntfleet/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 )
 
 const (
@@ -42,7 +42,7 @@
 	view    atomic.Pointer[View]
 	events  chan func(now time.Time)
 	done    chan struct{}
-	group   sync.WaitGroup
+	group   shuntgroup.Group
 	// fetching is only used on the control goroutine.
 	fetching bool
 	tree     *shuntconfig.Tree
@@ -81,7 +81,7 @@
 
 // Run runs the control goroutine until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
-	defer r.group.Wait()
+	defer r.group.Close()
 	defer close(r.done)
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
--- a/shuntlab/cluster.go
+++ b/shuntlab/cluster.go
@@ -57,6 +57,7 @@
 	Net      *Net
 	Backends map[string]*shuntfake.Backend
 	Daemons  []*shuntdaemon.Daemon
+	mu       sync.Mutex
 
 	config    Config
 	random    *shuntrandom.Source
@@ -174,7 +175,9 @@
 		c.Leases, c.Router = direct{}, direct{vm: v.Name}
 	}
 	d := shuntdaemon.New(c)
+	x.mu.Lock()
 	x.Daemons[i] = d
+	x.mu.Unlock()
 	x.Net.Add(v.PeerAddress, v.Zone, d)
 	d.StartFleet()
 }
@@ -301,17 +304,23 @@
 // entry returns a VM that callers would be told to use.
 func (x *Cluster) entry() *shuntdaemon.Daemon {
 	for range x.Daemons {
-		d := x.Daemons[x.random.Below(len(x.Daemons))]
+		d := x.at(x.random.Below(len(x.Daemons)))
 		if es := shuntentry.Entries(d.View(), "", "", x.random); len(es) > 0 {
 			return x.daemon(es[x.random.Below(len(es))].Name)
 		}
 	}
-	return x.Daemons[0]
+	return x.at(0)
+}
+
+func (x *Cluster) at(i int) *shuntdaemon.Daemon {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.Daemons[i]
 }
 
 func (x *Cluster) daemon(name string) *shuntdaemon.Daemon {
-	for _, d := range x.Daemons {
-		if d.Name() == name {
+	for i := range x.Daemons {
+		if d := x.at(i); d.Name() == name {
 			return d
 		}
 	}
--- a/shuntowner/client.go
+++ b/shuntowner/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntpeer"
 )
@@ -42,7 +43,7 @@
 // Client sends batches of sub-requests to owners.
 type Client struct {
 	config ClientConfig
-	group  sync.WaitGroup
+	group  shuntgroup.Group
 	calls  atomic.Uint64
 
 	mu      sync.Mutex
@@ -54,8 +55,8 @@
 	return &Client{config: c, batches: map[string]*batch{}}
 }
 
-// Wait waits until all batches have ended.
-func (c *Client) Wait() { c.group.Wait() }
+// Wait sends no more batches and waits until all have ended.
+func (c *Client) Wait() { c.group.Close() }
 
 // Send sends rs to a VM and returns at once. deliver is called once for each
 // of rs, from several goroutines.
@@ -84,15 +85,23 @@
 	c.mu.Lock()
 	c.batches[b.id] = b
 	c.mu.Unlock()
-	c.group.Go(func() {
+	started := c.group.Go(func() {
 		b.run(rs)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.batches, b.id)
+		c.forget(b)
 	})
+	if !started {
+		c.forget(b)
+		b.end(func(r SubRequest) SubReply { return r.NotRun(shuntoutcome.ShuttingDown) })
+	}
 	return b
 }
 
+func (c *Client) forget(b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.batches, b.id)
+}
+
 // Sent returns the number of batches sent to other VMs.
 func (c *Client) Sent() uint64 { return c.calls.Load() }
 
--- a/shuntowner/gate.go
+++ b/shuntowner/gate.go
@@ -40,9 +40,9 @@
 	Leases    Leases
 	Policy    Policy
 	Metrics   *Metrics
-	// Start runs f on a goroutine of its own that ends before the gate's
-	// owner does; nil leaves out what is done ahead of need.
-	Start func(f func())
+	// Start runs f on a goroutine of its own, unless the owner is at its end;
+	// nil leaves out what is done ahead of need.
+	Start func(f func()) bool
 }
 
 // Policy switches parts of the gate off, for baselines in experiments.
--- a/shuntowner/owner.go
+++ b/shuntowner/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 )
 
@@ -23,7 +24,7 @@
 // Owner keeps the gates of the backend servers that this VM has worked with.
 type Owner struct {
 	config OwnerConfig
-	group  sync.WaitGroup
+	group  shuntgroup.Group
 	tree   atomic.Pointer[shuntconfig.Tree]
 
 	mu    sync.Mutex
@@ -80,7 +81,7 @@
 		Leases:    o.config.Leases,
 		Policy:    o.config.Policy,
 		Metrics:   o.config.Metrics,
-		Start:     o.group.Go,
+		Start:     func(f func()) bool { return o.group.Go(f) },
 	})
 	o.gates[id] = g
 	return g
@@ -101,12 +102,14 @@
 func (o *Owner) RunBatch(ctx context.Context, rs []SubRequest, deliver func(SubReply)) {
 	o.config.Metrics.Batches.Inc()
 	for _, r := range rs {
-		o.group.Go(func() { deliver(o.Run(ctx, r)) })
+		if !o.group.Go(func() { deliver(o.Run(ctx, r)) }) {
+			deliver(r.NotRun(shuntoutcome.ShuttingDown))
+		}
 	}
 }
 
-// Wait waits until no sub-request runs.
-func (o *Owner) Wait() { o.group.Wait() }
+// Wait takes no more sub-requests and waits until none runs.
+func (o *Owner) Wait() { o.group.Close() }
 
 // GateState is the state of a gate for operators and for a handover.
 type GateState struct {
--- a/shuntowner/service.go
+++ b/shuntowner/service.go
@@ -217,7 +217,9 @@
 	o.config.Metrics.Batches.Inc()
 	for _, r := range decodeRun(a, time.Now()) {
 		ctx := c.attempt(r.Attempt)
-		o.group.Go(func() { c.add(o.Run(ctx, r)) })
+		if !o.group.Go(func() { c.add(o.Run(ctx, r)) }) {
+			c.add(r.NotRun(shuntoutcome.ShuttingDown))
+		}
 	}
 	address, known := s.config.Address(a.VM)
 	for {
@@ -230,7 +232,9 @@
 			c.putBack(replies)
 			continue
 		}
-		o.group.Go(func() { s.deliver(address, a.Call, c, replies) })
+		if !o.group.Go(func() { s.deliver(address, a.Call, c, replies) }) {
+			c.putBack(replies)
+		}
 	}
 }
 
--- a/shuntowner/settle.go
+++ b/shuntowner/settle.go
@@ -187,10 +187,11 @@
 	if !g.config.Leases.Lease(g.id, now).Held {
 		return
 	}
-	g.filling = true
-	g.open++
 	address := g.place.Address
-	g.config.Start(func() { g.fill(address) })
+	if g.config.Start(func() { g.fill(address) }) {
+		g.filling = true
+		g.open++
+	}
 }
 
 func (g *Gate) fill(address string) {
--- a/shuntpeer/client.go
+++ b/shuntpeer/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 )
 
 const (
@@ -60,13 +62,12 @@
 // Pool keeps one connection to each peer address, opened at need.
 type Pool struct {
 	config PoolConfig
-	group  sync.WaitGroup
+	group  shuntgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu     sync.Mutex
-	closed bool
-	links  map[string]*link
+	mu    sync.Mutex
+	links map[string]*link
 }
 
 // NewPool returns a Pool without connections.
@@ -77,11 +78,8 @@
 
 // Close closes all connections and waits for their goroutines.
 func (p *Pool) Close() {
-	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
 	p.cancel()
-	p.group.Wait()
+	p.group.Close()
 }
 
 // Call calls method at address. When ctx ends first, Call returns its error
@@ -102,17 +100,6 @@
 	return fmt.Errorf("call %s: %w: %w", address, ErrNotSent, err)
 }
 
-// start runs f in the pool's group unless the pool is closed.
-func (p *Pool) start(f func()) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return false
-	}
-	p.group.Go(f)
-	return true
-}
-
 func (p *Pool) link(address string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -187,7 +174,7 @@
 		return l.client, nil
 	}
 	if l.dialing == nil {
-		if !l.pool.start(l.dial) {
+		if !l.pool.group.Go(l.dial) {
 			l.mu.Unlock()
 			return nil, errClosed
 		}
