--- a/shuntcapacity/world.go
+++ b/shuntcapacity/world.go
@@ -14,7 +14,6 @@
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntdaemon"
 	"mulberryshunt.example/mulberryshunt/shuntfake"
-	"mulberryshunt.example/mulberryshunt/shuntfleet"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
 	"mulberryshunt.example/mulberryshunt/shuntpeer"
 )
@@ -158,7 +157,9 @@
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyPoll) {
 		owned := 0
 		for _, d := range w.daemons {
-			owned += held(d.View())
+			if v := d.View(); v.Takes() {
+				owned += v.Owned()
+			}
 		}
 		if owned == w.shape.servers+w.shape.otherServers {
 			return nil
@@ -167,17 +168,6 @@
 	return errors.New("the measured fleet did not become ready")
 }
 
-func held(v *shuntfleet.View) int {
-	n := 0
-	now := time.Now()
-	for id := range v.Leases() {
-		if v.Takes() && v.Lease(id, now).Held {
-			n++
-		}
-	}
-	return n
-}
-
 func (w *world) close() {
 	var g sync.WaitGroup
 	for _, d := range w.daemons {
--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -111,6 +111,7 @@
 	d.guard = shuntguard.New(shuntguard.Config{Metrics: d.metrics, OnCrash: func() { d.runner.SpreadSuspicions() }})
 	d.makeFleet()
 	d.makePath()
+	shuntfleet.RegisterGauges(d.metrics, d.runner.View)
 	return d
 }
 
@@ -364,22 +365,12 @@
 	d.waitFor(ctx, func() bool { return d.front.Load() == 0 })
 	bounded, cancel := context.WithTimeout(ctx, handoverPatience)
 	defer cancel()
-	d.waitFor(bounded, func() bool { return !d.holdsLeases() && d.owner.InFlight() == 0 })
+	// Where no other VM can take the servers, they are let go at the end.
+	d.waitFor(bounded, func() bool { return d.runner.View().Owned() == 0 && d.owner.InFlight() == 0 })
 	d.Stop()
 	klog.InfoS("VM has left", "vm", d.Name())
 }
 
-// holdsLeases says whether the VM still owns backend servers. When no other VM
-// can take them, they are simply let go at the end.
-func (d *Daemon) holdsLeases() bool {
-	for _, l := range d.runner.View().Leases() {
-		if l.Held {
-			return true
-		}
-	}
-	return false
-}
-
 func (d *Daemon) waitFor(ctx context.Context, done func() bool) {
 	for !done() && ctx.Err() == nil {
 		pause(ctx, drainPoll)
--- a/shuntfleet/metrics.go
+++ b/shuntfleet/metrics.go
@@ -17,7 +17,10 @@
 
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docBeats, docBeatsLost, docFetches, docPlatformCalls, docPlatformErrors, docStaleReads}
+	return []shuntmetric.Doc{
+		docBeats, docBeatsLost, docFetches, docPlatformCalls, docPlatformErrors, docStaleReads,
+		docReady, docPeers, docDiffer, docLeases, docRefusals, docProblems,
+	}
 }
 
 // Metrics counts what the fleet's part of a VM does.
@@ -44,3 +47,42 @@
 		StaleReads:     shuntmetric.Counter(set, docStaleReads, ""),
 	}
 }
+
+var (
+	docReady    = shuntmetric.Doc{Name: "mulberryshunt_fleet_ready", Type: "Gauge", Text: "1 when the VM takes work, 0 when it starts or is isolated.", Since: "0.1"}
+	docPeers    = shuntmetric.Doc{Name: "mulberryshunt_fleet_peers_live", Type: "Gauge", Text: "Other VMs heard lately.", Since: "0.1"}
+	docDiffer   = shuntmetric.Doc{Name: "mulberryshunt_fleet_peers_other_configuration", Type: "Gauge", Text: "Live VMs that have another configuration in force.", Since: "0.1"}
+	docLeases   = shuntmetric.Doc{Name: "mulberryshunt_fleet_leases_held", Type: "Gauge", Text: "Backend servers that this VM owns.", Since: "0.1"}
+	docRefusals = shuntmetric.Doc{Name: "mulberryshunt_fleet_documents_refused", Type: "Gauge", Text: "Documents whose newest version was refused.", Since: "0.1"}
+	docProblems = shuntmetric.Doc{Name: "mulberryshunt_fleet_workspaces_unresolved", Type: "Gauge", Text: "Workspaces whose documents don't resolve.", Since: "0.1"}
+)
+
+// RegisterGauges registers gauges that read the view published last.
+func RegisterGauges(set *metrics.Set, view func() *View) {
+	gauge := func(d shuntmetric.Doc, read func(v *View) int) {
+		shuntmetric.Gauge(set, d, "", func() float64 { return float64(read(view())) })
+	}
+	gauge(docReady, func(v *View) int {
+		if v.Takes() {
+			return 1
+		}
+		return 0
+	})
+	gauge(docPeers, func(v *View) int {
+		return v.countPeers(func(Peer) bool { return true })
+	})
+	gauge(docDiffer, func(v *View) int {
+		return v.countPeers(func(p Peer) bool { return p.Status.Digest != v.Self.Digest })
+	})
+	gauge(docLeases, (*View).Owned)
+	gauge(docRefusals, func(v *View) int { return len(v.Tree.Refusals()) })
+	gauge(docProblems, func(v *View) int {
+		n := 0
+		for _, w := range v.Tree.Workspaces() {
+			if v.Tree.Problem(w) != nil {
+				n++
+			}
+		}
+		return n
+	})
+}
--- a/shuntfleet/view.go
+++ b/shuntfleet/view.go
@@ -52,14 +52,32 @@
 	return !now.Before(until) || !now.Round(0).Before(until.Round(0))
 }
 
-// hearsPeers says whether any other VM was heard lately.
-func (v *View) hearsPeers() bool {
+// Owned returns the number of backend servers that the VM owns now.
+func (v *View) Owned() int {
+	n := 0
+	now := time.Now()
+	for id := range v.leases {
+		if v.Lease(id, now).Held {
+			n++
+		}
+	}
+	return n
+}
+
+// countPeers counts the live VMs that count says yes to.
+func (v *View) countPeers(count func(Peer) bool) int {
+	n := 0
 	for _, p := range v.Peers {
-		if p.Live {
-			return true
+		if p.Live && count(p) {
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// hearsPeers says whether any other VM was heard lately.
+func (v *View) hearsPeers() bool {
+	return v.countPeers(func(Peer) bool { return true }) > 0
 }
 
 // Takes says whether the VM takes new work.
--- a/shuntlab/config_test.go
+++ b/shuntlab/config_test.go
@@ -68,22 +68,28 @@
 				return
 			case <-t.C:
 			}
-			for _, d := range x.Daemons {
-				life := d.Name() + d.View().Self.Start
+			for i := range x.Daemons {
+				v := x.at(i).View()
+				life := v.Self.VM + v.Self.Start
 				if highest[life] == nil {
 					highest[life] = map[shuntconfig.Key]int64{}
 				}
-				for k, v := range d.View().Tree.Versions() {
-					if v < highest[life][k] {
-						x.Log.Violate(func(v *shuntfake.Violations) { v.Reverted++ }, "%s went from %s version %d to %d", life, k, highest[life][k], v)
-					}
-					highest[life][k] = max(highest[life][k], v)
-				}
+				x.checkVersions(life, highest[life], v.Tree.Versions())
 			}
 		}
 	})
 }
 
+// checkVersions compares the versions of one life of a VM with the highest seen.
+func (x *Cluster) checkVersions(life string, highest, now map[shuntconfig.Key]int64) {
+	for k, v := range now {
+		if v < highest[k] {
+			x.Log.Violate(func(v *shuntfake.Violations) { v.Reverted++ }, "%s went from %s version %d to %d", life, k, highest[k], v)
+		}
+		highest[k] = max(highest[k], v)
+	}
+}
+
 // switchable is a reader of the platform that can be cut off.
 type switchable struct {
 	shuntplatform.Reader
--- a/shuntlab/once_test.go
+++ b/shuntlab/once_test.go
@@ -244,28 +244,30 @@
 		"another shard":    shuntfake.GarbleShard,
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				x := Start(Config{Estate: shared(), Seed: 1, Warm: true})
-				x.Backends["desk-01/r0"].SetGarble(garble)
-				x.Backends["desk-02/r0"].SetGarble(garble)
-				x.Backends["desk-02/r1"].SetGarble(garble)
-				partial := 0
-				x.Run(Stream{Workspace: "desk", Rate: 50, For: 4 * time.Second, Seed: 1, OnAnswer: func(_ time.Time, a shuntquery.Answer) {
-					if a.Answered == a.Total {
-						t.Errorf("query %s has rows of a shard that only gave wrong replies", a.ID)
-					}
-					if a.Answered > 0 {
-						partial++
-					}
-				}})
-				x.Stop()
-				if partial == 0 {
-					t.Error("no query was answered in part")
-				}
-				if v := x.Log.Violations(); v.Total() > 0 {
-					t.Errorf("%+v %v", v, x.Log.Notes())
-				}
-			})
+			synctest.Test(t, func(t *testing.T) { wrongReplies(t, garble) })
 		})
 	}
 }
+
+func wrongReplies(t *testing.T, garble shuntfake.Garble) {
+	x := Start(Config{Estate: shared(), Seed: 1, Warm: true})
+	for _, id := range []string{"desk-01/r0", "desk-02/r0", "desk-02/r1"} {
+		x.Backends[id].SetGarble(garble)
+	}
+	partial := 0
+	x.Run(Stream{Workspace: "desk", Rate: 50, For: 4 * time.Second, Seed: 1, OnAnswer: func(_ time.Time, a shuntquery.Answer) {
+		if a.Answered == a.Total {
+			t.Errorf("query %s has rows of a shard that only gave wrong replies", a.ID)
+		}
+		if a.Answered > 0 {
+			partial++
+		}
+	}})
+	x.Stop()
+	if partial == 0 {
+		t.Error("no query was answered in part")
+	}
+	if v := x.Log.Violations(); v.Total() > 0 {
+		t.Errorf("%+v %v", v, x.Log.Notes())
+	}
+}
