--- a/shuntentry/wire_test.go
+++ b/shuntentry/wire_test.go
@@ -1,11 +1,19 @@
 package shuntentry
 
 import (
+	"flag"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+func init() {
+	// The same verdict every time.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func FuzzDecodeRequest(f *testing.F) {
 	f.Add([]byte(`{"Query": "x"}`))
 	f.Add([]byte(`{"Query": "x", "Idempotent": false, "Ticket": "a~b~c~d", "Limit": 3}`))
--- /dev/null
+++ b/shuntowner/policy_test.go
@@ -0,0 +1,110 @@
+package shuntowner
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+)
+
+func init() {
+	// The same verdict every time.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// TestRamp is the cold ramp, step by step: s is a success, x a shed, and a
+// number lets that many milliseconds pass.
+func TestRamp(t *testing.T) {
+	type event struct {
+		wait    time.Duration
+		success int
+		setback bool
+	}
+	ms := time.Millisecond
+	cases := map[string]struct {
+		events []event
+		want   int
+	}{
+		"fresh":                     {nil, 1},
+		"successes without time":    {[]event{{0, 100, false}}, 1},
+		"time without successes":    {[]event{{time.Hour, 3, false}}, 1},
+		"time and successes":        {[]event{{250 * ms, 4, false}}, 2},
+		"each step anew":            {[]event{{250 * ms, 4, false}, {250 * ms, 7, false}}, 2},
+		"two steps":                 {[]event{{250 * ms, 4, false}, {250 * ms, 8, false}}, 3},
+		"one burst is one step":     {[]event{{time.Hour, 100, false}}, 2},
+		"a setback halves":          {[]event{{250 * ms, 4, false}, {250 * ms, 8, false}, {0, 0, true}}, 1},
+		"a setback keeps the floor": {[]event{{0, 0, true}}, 1},
+		"after a setback from anew": {[]event{{250 * ms, 4, false}, {0, 0, true}, {100 * ms, 4, false}}, 1},
+		"not above the ceiling":     {[]event{{time.Second, 4, false}, {time.Second, 8, false}, {time.Second, 12, false}, {time.Second, 16, false}}, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			r := NewRamp(RampConfig{Floor: 1, Ceiling: 3, StepTime: 250 * ms, StepRequests: 4}, now)
+			for _, e := range c.events {
+				now = now.Add(e.wait)
+				for range e.success {
+					r = r.WithSuccess(now)
+				}
+				if e.setback {
+					r = r.WithSetback(now)
+				}
+			}
+			if r.Limit() != c.want {
+				t.Errorf("limit %d; want %d", r.Limit(), c.want)
+			}
+		})
+	}
+}
+
+// TestWindowBounds: whatever comes, a window stays between one request and its
+// ceiling.
+func TestWindowBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 64).Draw(t, "slots")
+		w := NewWindow(slots)
+		now := time.Unix(0, 0)
+		for _, ok := range rapid.SliceOf(rapid.Bool()).Draw(t, "outcomes") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "wait")) * time.Millisecond)
+			if ok {
+				w = w.WithSuccess(time.Duration(rapid.IntRange(1, 1000).Draw(t, "latency"))*time.Millisecond, slots, now)
+			} else {
+				w = w.WithShed(now)
+			}
+			if n := w.Limit(); n < 1 || n > Ceiling(slots) {
+				t.Fatalf("limit %d outside of 1 to %d", n, Ceiling(slots))
+			}
+		}
+	})
+}
+
+// TestQueueOrder: waiters go by class, then by deadline, then by arrival.
+func TestQueueOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q waiters
+		n := rapid.IntRange(1, 40).Draw(t, "waiters")
+		for i := range n {
+			q.add(&waiter{
+				class:    shuntconfig.Class(rapid.IntRange(0, shuntconfig.ClassCount-1).Draw(t, "class")),
+				deadline: time.Unix(int64(rapid.IntRange(0, 3).Draw(t, "deadline")), 0),
+				sequence: uint64(i),
+			})
+		}
+		if q.remove(q[rapid.IntRange(0, n-1).Draw(t, "gone")]) {
+			n--
+		}
+		var last *waiter
+		for range n {
+			w := q.takeFirst()
+			if last != nil && waiters([]*waiter{w, last}).Less(0, 1) {
+				t.Fatalf("%+v came after %+v", w, last)
+			}
+			last = w
+		}
+	})
+}
