Go on when regions lose each other, and earn an adopted ramp step anew

Change: VMs that hear no majority hand nothing over and route to the VM known as the owner last; VMs of the own cell that are not heard are not routed to; connections are kept while there is no lease. An adopted step starts anew. At most a quarter of the time left is kept for the network.

--- a/shuntfake/conn.go
+++ b/shuntfake/conn.go
@@ -48,6 +48,12 @@
 	// Setup is what a new connection takes on top of the delay.
 	Setup    time.Duration
 	Backends func(address string) *Backend
+	// Cut says whether nothing gets through to a zone now; nil is never.
+	Cut func(zone string) bool
+}
+
+func (n *Connector) isCut(b *Backend) bool {
+	return n.Cut != nil && n.Cut(b.config.Place.Zone)
 }
 
 // Connect implements shuntowner.Connector.
@@ -56,6 +62,10 @@
 	if b == nil {
 		return nil, errors.NotFoundf("backend server at %s", address)
 	}
+	if n.isCut(b) {
+		sleep(ctx, cutConnectTime)
+		return nil, errors.New("connection timed out")
+	}
 	d := n.Delay(n.Zone, b.config.Place.Zone)
 	if !sleep(ctx, 2*d+n.Setup) {
 		return nil, ctx.Err()
@@ -64,15 +74,19 @@
 	if err := b.accept(c); err != nil {
 		return nil, err
 	}
-	return &memoryConn{conn: c, delay: d}, nil
+	return &memoryConn{connector: n, conn: c, delay: d}, nil
 }
 
 // memoryConn is a connection in memory.
 type memoryConn struct {
-	conn  *backendConn
-	delay time.Duration
+	connector *Connector
+	conn      *backendConn
+	delay     time.Duration
 }
 
+// cutConnectTime is when an attempt to connect over a cut is given up.
+const cutConnectTime = 2 * time.Second
+
 type handled struct {
 	response shuntowner.Response
 	ok       bool
@@ -83,7 +97,7 @@
 	if ctx.Err() != nil {
 		return shuntowner.Response{}, &shuntowner.ConnError{Err: ctx.Err()}
 	}
-	if m.conn.silent.Load() {
+	if m.conn.silent.Load() || m.connector.isCut(m.conn.backend) {
 		<-ctx.Done()
 		return m.fail(ctx.Err(), true)
 	}
--- a/shuntfleet/control.go
+++ b/shuntfleet/control.go
@@ -48,8 +48,10 @@
 	members   map[string]*member
 	voter     *Voter
 	held      map[string]*holding
-	leaving   bool
-	synced    bool
+	// lastOwners names the VM last known as the owner of each server.
+	lastOwners map[string]string
+	leaving    bool
+	synced     bool
 	// listedLeaving are the VMs that the platform's list, which lags, says
 	// are leaving.
 	listedLeaving map[string]bool
@@ -72,12 +74,13 @@
 		c.Random = shuntrandom.New(0)
 	}
 	t := &Control{
-		config:  c,
-		tree:    shuntconfig.NewTree(),
-		members: map[string]*member{},
-		voter:   NewVoter(now),
-		held:    map[string]*holding{},
-		began:   now,
+		config:     c,
+		tree:       shuntconfig.NewTree(),
+		members:    map[string]*member{},
+		voter:      NewVoter(now),
+		held:       map[string]*holding{},
+		began:      now,
+		lastOwners: map[string]string{},
 	}
 	t.placement = NewPlacement(t.tree)
 	t.view = t.makeView(now)
@@ -221,6 +224,8 @@
 		Isolated:  c.isolated(now),
 		InService: c.inService(),
 		leases:    map[string]shuntowner.LeaseState{},
+		unheard:   map[string]bool{},
+		majority:  c.hearsMajority(now),
 		voters:    len(c.placement.Voters(c.config.Cell)),
 	}
 	for _, id := range c.placement.Servers(c.config.Cell) {
@@ -230,6 +235,12 @@
 		s := m.status
 		s.Leaving = s.Leaving || c.listedLeaving[n]
 		v.Peers = append(v.Peers, Peer{Name: n, Zone: m.vm.Zone, Status: s, Heard: m.heard, Live: m.live(now)})
+		if m.vm.Cell == c.config.Cell && !m.live(now) && now.Sub(c.began) > deadAfter {
+			// Right after the start nobody was heard yet, which says nothing.
+			v.unheard[n] = true
+			// The order of a map must not show, so the names are added up.
+			v.live += uint64(ResourceOf(n))
+		}
 	}
 	slices.SortFunc(v.Peers, func(a, b Peer) int {
 		if a.Name < b.Name {
--- a/shuntfleet/ownership.go
+++ b/shuntfleet/ownership.go
@@ -24,6 +24,14 @@
 // plan works out which servers this VM should own and starts to hand over
 // those that it should not.
 func (c *Control) plan(now time.Time) {
+	if !c.hearsMajority(now) {
+		// Nobody can get a lease. Who has connections to a server goes on with
+		// it; to give it to another VM would only lose them.
+		for _, h := range c.held {
+			h.next = ""
+		}
+		return
+	}
 	assigned := c.placement.Assign(c.config.Cell, func(v shuntconfig.VM) bool { return c.mayOwn(v, now) })
 	for id, vm := range assigned {
 		h, ok := c.held[id]
@@ -45,6 +53,19 @@
 	}
 }
 
+// hearsMajority says whether a majority of the cell, this VM included, is live.
+func (c *Control) hearsMajority(now time.Time) bool {
+	voters := c.placement.Voters(c.config.Cell)
+	n := 0
+	for _, v := range voters {
+		m, ok := c.members[v.Name]
+		if v.Name == c.config.VM || (ok && m.live(now)) {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
 func (c *Control) mayOwn(v shuntconfig.VM, now time.Time) bool {
 	if !c.tree.Fleet().VMInService(v.Name) {
 		return false
@@ -100,8 +121,19 @@
 	return false
 }
 
+// leaseState returns what is known of a server's owner, and remembers it.
 func (c *Control) leaseState(id string, voters int, now time.Time) shuntowner.LeaseState {
-	s := shuntowner.LeaseState{Voters: max(1, voters)}
+	s := c.ownerOf(id, now)
+	s.Voters = max(1, voters)
+	if s.Owner != "" {
+		c.lastOwners[id] = s.Owner
+	}
+	s.Last = c.lastOwners[id]
+	return s
+}
+
+func (c *Control) ownerOf(id string, now time.Time) shuntowner.LeaseState {
+	var s shuntowner.LeaseState
 	h, ok := c.held[id]
 	switch {
 	case ok && h.next != "":
--- a/shuntfleet/router.go
+++ b/shuntfleet/router.go
@@ -24,10 +24,16 @@
 	mu    sync.Mutex
 	hints map[string]hint
 	lost  map[string]time.Time
-	// assigned caches the placement's choice by cell, for the placement and
-	// the set of lost VMs of cachedFor.
-	assigned  map[string]map[string]string
-	cachedFor *Placement
+	// assigned caches the placement's choice by cell, for the placement, the
+	// live VMs of the own cell and the lost VMs.
+	assigned map[string]map[string]string
+	cached   cachedFor
+}
+
+// cachedFor is what the cached choices were made for.
+type cachedFor struct {
+	placement *Placement
+	live      uint64
 }
 
 type hint struct {
@@ -49,9 +55,15 @@
 func (r *Router) Route(server string) (string, bool) {
 	v := r.view()
 	now := time.Now()
-	if l := v.Lease(server, now); l.Owner != "" {
+	l := v.Lease(server, now)
+	if l.Owner != "" {
 		return l.Owner, true
 	}
+	if !v.majority && l.Last != "" && !v.unheard[l.Last] {
+		// Nobody has the lease, for want of a majority. Whoever had it may go
+		// on with a warm server.
+		return l.Last, true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h, ok := r.hints[server]; ok && now.Before(h.until) {
@@ -64,16 +76,16 @@
 
 func (r *Router) assign(v *View, cell string, now time.Time) map[string]string {
 	r.expireLost(now)
-	if r.cachedFor != v.Placement {
+	if now := (cachedFor{v.Placement, v.live}); r.cached != now {
 		clear(r.assigned)
 		clear(r.hints)
-		r.cachedFor = v.Placement
+		r.cached = now
 	}
 	a, ok := r.assigned[cell]
 	if !ok {
 		a = v.Placement.Assign(cell, func(vm shuntconfig.VM) bool {
 			_, lost := r.lost[vm.Name]
-			return !lost && v.Tree.Fleet().VMInService(vm.Name)
+			return !lost && v.Tree.Fleet().VMInService(vm.Name) && v.mayServe(vm)
 		})
 		r.assigned[cell] = a
 	}
--- a/shuntfleet/view.go
+++ b/shuntfleet/view.go
@@ -21,6 +21,12 @@
 	// leases holds what is known of the servers of this VM's cell.
 	leases map[string]shuntowner.LeaseState
 	voters int
+	// unheard are the VMs of this VM's cell that are not live; live stands
+	// for the set of them.
+	unheard map[string]bool
+	// majority: a majority of the cell is live, so that leases are granted.
+	majority bool
+	live     uint64
 }
 
 // Peer is another VM as this one knows it.
@@ -52,6 +58,10 @@
 	return !now.Before(until) || !now.Round(0).Before(until.Round(0))
 }
 
+// mayServe says whether a VM could answer: those of the own cell are heard twice
+// a second, of others nothing is known.
+func (v *View) mayServe(vm shuntconfig.VM) bool { return !v.unheard[vm.Name] }
+
 // Owned returns the number of backend servers that the VM owns now.
 func (v *View) Owned() int {
 	n := 0
--- a/shuntlab/cluster.go
+++ b/shuntlab/cluster.go
@@ -58,6 +58,7 @@
 	Backends map[string]*shuntfake.Backend
 	Daemons  []*shuntdaemon.Daemon
 	mu       sync.Mutex
+	parted   bool
 
 	config    Config
 	random    *shuntrandom.Source
@@ -145,6 +146,7 @@
 		Delay:    x.config.Estate.Delay,
 		Setup:    connectionSetup,
 		Backends: func(a string) *shuntfake.Backend { return x.byAddress[a] },
+		Cut:      func(zone string) bool { return x.cutBetween(v.Zone, zone) },
 	}
 	if x.config.Wrap != nil {
 		connector = x.config.Wrap(v.Name, connector)
@@ -223,6 +225,31 @@
 	x.Daemons[i].Stop()
 }
 
+// PartRegions loses all that goes from one region to another, or carries it again.
+func (x *Cluster) PartRegions(parted bool) {
+	x.mu.Lock()
+	x.parted = parted
+	x.mu.Unlock()
+	for i, a := range x.fleet.VMs {
+		for _, b := range x.fleet.VMs[:i] {
+			if x.region(a.Zone) != x.region(b.Zone) {
+				x.Net.Cut(a.Name, b.Name, parted)
+			}
+		}
+	}
+}
+
+func (x *Cluster) region(zone string) string {
+	z, _ := x.fleet.Zone(zone)
+	return z.Region
+}
+
+func (x *Cluster) cutBetween(a, b string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.parted && x.region(a) != x.region(b)
+}
+
 // ReplaceVM lets a VM leave gracefully and starts another one in its place.
 func (x *Cluster) ReplaceVM(i int) {
 	x.Daemons[i].Shutdown(context.Background())
--- a/shuntowner/admit.go
+++ b/shuntowner/admit.go
@@ -13,6 +13,9 @@
 	fresh bool
 	life  uint64
 	cold  bool
+	// kept: without a lease there is no other connection to be had, so this
+	// one is not given up when its caller no longer waits.
+	kept bool
 	// until bounds the request's deadline; zero means no bound.
 	until time.Time
 }
@@ -91,9 +94,9 @@
 	if g.running+g.fresh >= limit {
 		return nil, refusal{}
 	}
-	if c := g.takeLast(&g.idle, now); c != nil {
+	if c := g.takeLast(&g.idle, now, l.Held); c != nil {
 		g.running++
-		s := &slot{conn: c, life: g.life, cold: !g.ramp.Warm()}
+		s := &slot{conn: c, life: g.life, cold: !g.ramp.Warm(), kept: !l.Held}
 		if s.cold {
 			s.until = l.Until.Add(-expiryMargin)
 		}
@@ -105,7 +108,7 @@
 	if g.fresh >= g.freshLimit() {
 		return nil, refusal{}
 	}
-	if c := g.takeLast(&g.spare, now); c != nil {
+	if c := g.takeLast(&g.spare, now, true); c != nil {
 		g.fresh++
 		return &slot{conn: c, fresh: true, cold: true, until: l.Until.Add(-expiryMargin)}, refusal{}
 	}
@@ -125,13 +128,14 @@
 
 // takeLast returns the connection used last, and closes those unused too long
 // and those that the server has closed. A request must not find out: it could
-// not be told from one that the server died of.
-func (g *Gate) takeLast(from *[]*pooled, now time.Time) *pooled {
+// not be told from one that the server died of. Without a lease (held false) an
+// old connection is better than none.
+func (g *Gate) takeLast(from *[]*pooled, now time.Time, held bool) *pooled {
 	for n := len(*from); n > 0; n = len(*from) {
 		c := (*from)[n-1]
 		*from = (*from)[:n-1]
 		idle := now.Sub(c.lastUsed)
-		if idle < idleLimit && (idle < aliveAfter || c.conn.Alive()) {
+		if (idle < idleLimit || !held) && (idle < aliveAfter || c.conn.Alive()) {
 			return c
 		}
 		_ = c.conn.Close()
--- a/shuntowner/gate.go
+++ b/shuntowner/gate.go
@@ -191,7 +191,7 @@
 		out.Owner = no.owner
 		return g.report(out, began)
 	}
-	if s.cold {
+	if s.cold || s.kept {
 		// Closing the connection would free nothing: the request counts until
 		// the server has certainly given it up. Its answer is worth more, as
 		// it confirms the connection.
--- a/shuntowner/handover.go
+++ b/shuntowner/handover.go
@@ -60,7 +60,7 @@
 		g.start = a.Start
 		g.life++
 	}
-	g.ramp = g.ramp.withStep(a.Ramp)
+	g.ramp = g.ramp.withStep(a.Ramp, time.Now())
 	if g.ramp.Warm() {
 		g.coldWhy = ""
 	}
@@ -68,8 +68,15 @@
 	g.serveQueue(time.Now())
 }
 
-// withStep returns the ramp at a step that the owner before had reached.
-func (r Ramp) withStep(step int) Ramp {
-	r.step = max(r.step, min(step, r.config.Ceiling))
+// withStep returns the ramp at a step that the owner before had reached. Its
+// time and successes count from now: when the owner before got there is not known.
+func (r Ramp) withStep(step int, now time.Time) Ramp {
+	step = min(step, r.config.Ceiling)
+	if step <= r.step {
+		return r
+	}
+	r.step = step
+	r.successes = 0
+	r.since = now
 	return r
 }
--- a/shuntowner/policy_test.go
+++ b/shuntowner/policy_test.go
@@ -108,3 +108,28 @@
 		}
 	})
 }
+
+// TestAdoptedRamp: a step taken over from the owner before has to be earned in
+// full by the next one before it goes on.
+func TestAdoptedRamp(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := NewRamp(RampConfig{Floor: 1, Ceiling: 4, StepTime: 250 * time.Millisecond, StepRequests: 4}, now)
+	now = now.Add(time.Hour)
+	r = r.withStep(2, now)
+	for range 100 {
+		r = r.WithSuccess(now)
+	}
+	if r.Limit() != 2 {
+		t.Errorf("limit %d right after the step was taken over; want 2", r.Limit())
+	}
+	if r = r.withStep(1, now); r.Limit() != 2 {
+		t.Errorf("limit %d after an older state; want 2", r.Limit())
+	}
+	now = now.Add(250 * time.Millisecond)
+	for range 8 {
+		r = r.WithSuccess(now)
+	}
+	if r.Limit() != 3 {
+		t.Errorf("limit %d after time and successes; want 3", r.Limit())
+	}
+}
--- a/shuntquery/reply.go
+++ b/shuntquery/reply.go
@@ -45,7 +45,7 @@
 // observe keeps what the reply tells of the server.
 func (r *run) observe(a *attempt, p shuntowner.SubReply, now time.Time) {
 	took := now.Sub(a.sent)
-	if p.Latency > 0 {
+	if p.Outcome == shuntoutcome.Complete && p.Latency > 0 {
 		r.c.replicas.Travelled(a.server, took-p.Latency)
 	}
 	at := Load{Requests: p.InFlight, Window: p.Window}
--- a/shuntquery/run.go
+++ b/shuntquery/run.go
@@ -27,6 +27,9 @@
 	stragglerQuantile = 0.99
 	maxRedirects      = 3
 	redirectPause     = 20 * time.Millisecond
+	// mostNetworkShare: at most one part in this many of the time left is kept
+	// for the way there and back, however slow it was of late.
+	mostNetworkShare = 4
 	// maxAttempts bounds the attempts at one shard, whatever the budgets say.
 	maxAttempts = 8
 	retryPause  = 10 * time.Millisecond
@@ -236,7 +239,7 @@
 		Snapshot: r.snapshot.ID,
 		Class:    r.workspace.Class,
 		// What comes later would reach this VM too late.
-		Deadline:   r.deadline.Add(-r.c.replicas.Network(server)),
+		Deadline:   r.deadline.Add(-min(r.c.replicas.Network(server), r.deadline.Sub(now)/mostNetworkShare)),
 		Idempotent: r.query.Idempotent,
 		Suspect:    r.suspect,
 		Body:       r.query.Body,
