--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -294,16 +294,21 @@
 		WriteTimeout:      operatorTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	})
-	d.serveHTTP("callers", listeners[2], &http.Server{
-		Handler:           d.front.Handler(),
+	d.serveHTTP("callers", listeners[2], callerServer(d.front.Handler()))
+	klog.InfoS("VM started", "vm", s.Name, "zone", s.Zone, "callers", s.CallerListen, "peers", s.PeerListen, "operators", s.OperatorListen)
+	return nil
+}
+
+// callerServer returns the bounded server of the callers' interface.
+func callerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       operatorTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
-	})
-	klog.InfoS("VM started", "vm", s.Name, "zone", s.Zone, "callers", s.CallerListen, "peers", s.PeerListen, "operators", s.OperatorListen)
-	return nil
+	}
 }
 
 // OperatorHandler returns the operators' HTTP interface.
--- a/shuntfleet/control.go
+++ b/shuntfleet/control.go
@@ -1,6 +1,7 @@
 package shuntfleet
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -129,7 +130,7 @@
 			klog.InfoS("Document refused; the last good one stays", "key", k, "version", r.Version, "reason", r.Err.Error())
 		}
 	}
-	klog.InfoS("Configuration in force", "digest", t.Digest(), "fleetVersion", t.Fleet().Version)
+	klog.InfoS("Configuration in force", "digest", fmt.Sprintf("%016x", t.Digest()), "fleetVersion", t.Fleet().Version)
 	c.publish(now)
 	return true
 }
--- a/shuntlab/config_test.go
+++ b/shuntlab/config_test.go
@@ -256,6 +256,28 @@
 	})
 }
 
+// TestPausedVM: a VM sleeps for a minute, wakes with old facts, and has what was
+// published meanwhile within ten seconds.
+func TestPausedVM(t *testing.T) {
+	configCase(t, func(t *testing.T, x *Cluster, off []*atomic.Bool) {
+		const minute = time.Minute
+		off[2].Store(true)
+		x.Pause(2, &Freezer{}, minute)
+		v := x.Platform.Publish(deskKey, deskBody(260))
+		if took := x.waitVersion(deskKey, v, inForceTarget, 2); took >= inForceTarget {
+			t.Errorf("not in force at the others: %v", x.versionsOf(deskKey))
+		}
+		time.Sleep(minute)
+		off[2].Store(false)
+		if took := x.waitVersion(deskKey, v, inForceTarget); took >= inForceTarget {
+			t.Errorf("not in force %v after the VM woke: %v", took, x.versionsOf(deskKey))
+		}
+		if !x.WaitReady() {
+			t.Error("not every server has an owner")
+		}
+	})
+}
+
 func TestInvalidDocumentIsRefusedAlike(t *testing.T) {
 	configCase(t, func(t *testing.T, x *Cluster, _ []*atomic.Bool) {
 		before := x.versionsOf(deskKey)
--- a/shuntoutcome/outcome.go
+++ b/shuntoutcome/outcome.go
@@ -129,13 +129,3 @@
 
 // ReasonDocs returns the documentation of all reasons.
 func ReasonDocs() []Doc { return reasonDocs[:] }
-
-// ParseReason returns the reason with that name; None for an unknown one.
-func ParseReason(s string) Reason {
-	for i, d := range reasonDocs {
-		if d.Name == s {
-			return Reason(i)
-		}
-	}
-	return None
-}
--- /dev/null
+++ b/shuntquery/reply_test.go
@@ -0,0 +1,135 @@
+package shuntquery
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+	"mulberryshunt.example/mulberryshunt/shuntoutcome"
+	"mulberryshunt.example/mulberryshunt/shuntowner"
+)
+
+// wrongSender answers each sub-request through a function that may answer twice,
+// late, or in the name of others.
+type wrongSender struct {
+	answer func(r shuntowner.SubRequest, all []shuntowner.SubRequest, deliver func(shuntowner.SubReply))
+	group  *sync.WaitGroup
+}
+
+func (s wrongSender) Send(_ string, rs []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) shuntowner.Sent {
+	for _, r := range rs {
+		s.group.Go(func() { s.answer(r, rs, deliver) })
+	}
+	return sent{}
+}
+
+type sent struct{}
+
+func (sent) Cancel(...uint64) {}
+
+type oneVM struct{}
+
+func (oneVM) Route(string) (string, bool) { return "vm", true }
+func (oneVM) Learn(_, _ string)           {}
+func (oneVM) Lost(string)                 {}
+
+// good is the right reply to r; its row names the shard that it was asked of.
+func good(r shuntowner.SubRequest) shuntowner.SubReply {
+	return shuntowner.SubReply{
+		Query: r.Query, Attempt: r.Attempt, Server: r.Server, Shard: r.Shard, Snapshot: r.Snapshot,
+		Outcome: shuntoutcome.Complete, Rows: EncodeRows([]Row{{Key: r.Shard}}),
+	}
+}
+
+func replyTree() *shuntconfig.Tree {
+	docs := []shuntconfig.Document{
+		{Key: "Template/t", Version: 1, Body: []byte("[Settings]\nServices = [\"a\", \"b\"]\nHedgeFraction = 0\nRetryFraction = 0\nWaitForAll = true\n")},
+		{Key: "Workspace/w", Version: 1, Body: []byte("Template = \"t\"\n")},
+	}
+	for _, n := range []string{"a", "b"} {
+		s := shuntconfig.Service{
+			Name: n, Slots: 1, Connections: 2, ColdBears: 1, WarmStepRequests: 1,
+			Servers:   []shuntconfig.Server{{Name: "r", Address: "10.0.0.1:1", Zone: "z"}},
+			Snapshots: []shuntconfig.Snapshot{{ID: shuntconfig.SnapshotID{Version: 1}, Shards: []shuntconfig.Shard{{Name: "x", Servers: []string{"r"}}}}},
+		}
+		docs = append(docs, shuntconfig.Document{Key: shuntconfig.MakeKey(shuntconfig.KindService, n), Version: 1, Body: shuntconfig.EncodeService(s)})
+	}
+	return shuntconfig.NewTree().With(docs...)
+}
+
+// TestWrongReplies: duplicate, late and swapped replies never change an answer
+// beyond what was rightly answered.
+func TestWrongReplies(t *testing.T) {
+	type replies = func(r shuntowner.SubRequest, all []shuntowner.SubRequest, deliver func(shuntowner.SubReply))
+	cases := map[string]struct {
+		answer replies
+		want   string
+	}{
+		"right": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			deliver(good(r))
+		}, "Complete 2/2 [a/x b/x]"},
+		"duplicate": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			for range 5 {
+				deliver(good(r))
+			}
+		}, "Complete 2/2 [a/x b/x]"},
+		"late": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			if r.Shard == "b/x" {
+				time.Sleep(time.Minute)
+			}
+			deliver(good(r))
+		}, "Partial 1/2 [a/x]"},
+		"swapped shards": {func(r shuntowner.SubRequest, all []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			p := good(r)
+			p.Attempt = all[0].Attempt + all[1].Attempt - r.Attempt
+			deliver(p)
+		}, "Unknown 0/2 []"},
+		"another query": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			p := good(r)
+			if r.Shard == "a/x" {
+				p.Query = "other"
+			}
+			deliver(p)
+		}, "Partial 1/2 [b/x]"},
+		"another snapshot": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			p := good(r)
+			if r.Shard == "a/x" {
+				p.Snapshot.Version++
+			}
+			deliver(p)
+		}, "Partial 1/2 [b/x]"},
+		"rows that can't be read": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			p := good(r)
+			if r.Shard == "a/x" {
+				p.Rows = []byte("{")
+			}
+			deliver(p)
+		}, "Partial 1/2 [b/x]"},
+		"none ran": {func(r shuntowner.SubRequest, _ []shuntowner.SubRequest, deliver func(shuntowner.SubReply)) {
+			deliver(r.NotRun(shuntoutcome.QueueFull))
+		}, "NotRun 0/2 []"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var g sync.WaitGroup
+				co := NewCoordinator(CoordinatorConfig{Sender: wrongSender{c.answer, &g}, Router: oneVM{}, Guard: shuntguard.New(shuntguard.Config{})})
+				co.budgetsOf("w").retry.tokens = 0
+				a := co.Run(context.Background(), replyTree(), Query{ID: "q", Workspace: "w", Deadline: time.Now().Add(time.Second), Idempotent: true})
+				keys := make([]string, len(a.Rows))
+				for i, r := range a.Rows {
+					keys[i] = r.Key
+				}
+				if got := fmt.Sprintf("%v %d/%d %v", a.Outcome, a.Answered, a.Total, keys); got != c.want {
+					t.Errorf("got %s; want %s", got, c.want)
+				}
+				g.Wait()
+			})
+		})
+	}
+}
