Make one piece of what demonstration and bench had twice, and drop dead switches

Cause: read anew. The demonstration and the bench each made the fleet, listed the other VMs' peer addresses, marked servers of zones taken out, and waited for owners by the same loops; the wait for a probe stood in due and in tick. Change: shuntdaemon.Settled, Estate.Fleet, Fleet.PeerAddresses, Log.CloseZones and run.probeWait serve both. Removed, since nothing used them: PoolConfig.OnSilent, Policy.FreeRetries and the bench's count of calls. Conclusion: behaviour as before.

--- a/shuntcommand/standin.go
+++ b/shuntcommand/standin.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	defer s.Close()
-	s.PublishFleet(s.NewFleet(f.vms, func(i int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+i) }))
+	s.PublishFleet(estate.Fleet(f.vms, func(i int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+i) }))
 	if err := publishFolder(s, f.publish); err != nil {
 		return err
 	}
--- a/shuntconfig/fleet.go
+++ b/shuntconfig/fleet.go
@@ -71,6 +71,17 @@
 	return out
 }
 
+// PeerAddresses returns the peer addresses of all VMs but the one called but.
+func (f Fleet) PeerAddresses(but string) []string {
+	var out []string
+	for _, v := range f.VMs {
+		if v.Name != but {
+			out = append(out, v.PeerAddress)
+		}
+	}
+	return out
+}
+
 // WithZoneInService returns f with one zone marked in or out of service.
 func (f Fleet) WithZoneInService(name string, in bool) Fleet {
 	zs := make([]Zone, len(f.Zones))
--- a/shuntdemo/standins.go
+++ b/shuntdemo/standins.go
@@ -1,7 +1,6 @@
 package shuntdemo
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -16,8 +15,6 @@
 const (
 	loopback      = "127.0.0.1:0"
 	demoKey       = "demonstration-key-of-one-process"
-	demoCell      = "cell-1"
-	portsPerVM    = 3
 	standinHeader = time.Second
 	demoTailShare = 0.005
 )
@@ -92,27 +89,9 @@
 	return nil
 }
 
-// NewFleet returns a fleet of n VMs, spread over the zones; address gives the
-// addresses of their listeners by number.
-func (s *Standins) NewFleet(n int, address func(i int) string) shuntconfig.Fleet {
-	f := shuntconfig.Fleet{Zones: s.Estate.Zones}
-	for i := range n {
-		f.VMs = append(f.VMs, shuntconfig.VM{
-			Name:            fmt.Sprintf("vm-%d", i+1),
-			Zone:            s.Estate.Zones[i%len(s.Estate.Zones)].Name,
-			Cell:            demoCell,
-			InService:       true,
-			CallerAddress:   address(portsPerVM * i),
-			PeerAddress:     address(portsPerVM*i + 1),
-			OperatorAddress: address(portsPerVM*i + 2),
-		})
-	}
-	return f
-}
-
 // Settings returns the settings of a VM of the fleet.
 func (s *Standins) Settings(v shuntconfig.VM) shuntconfig.Settings {
-	out := shuntconfig.Settings{
+	return shuntconfig.Settings{
 		Name:            v.Name,
 		Zone:            v.Zone,
 		Cell:            v.Cell,
@@ -120,23 +99,15 @@
 		PeerListen:      v.PeerAddress,
 		OperatorListen:  v.OperatorAddress,
 		PlatformAddress: s.PlatformAddress,
+		PeerAddresses:   s.fleet.PeerAddresses(v.Name),
 		PeerKey:         demoKey,
 	}
-	for _, o := range s.fleet.VMs {
-		if o.Name != v.Name {
-			out.PeerAddresses = append(out.PeerAddresses, o.PeerAddress)
-		}
-	}
-	return out
 }
 
 // PublishFleet publishes a Fleet document and books which servers are out.
 func (s *Standins) PublishFleet(f shuntconfig.Fleet) {
 	s.fleet = f
-	now := time.Now()
-	for id, b := range s.Backends {
-		s.Log.Close(id, f.ZoneInService(b.Zone()), now)
-	}
+	s.Log.CloseZones(f, s.Backends, time.Now())
 	s.Platform.Publish(shuntconfig.FleetKey, shuntconfig.EncodeFleet(f))
 }
 
--- a/shuntdemo/world.go
+++ b/shuntdemo/world.go
@@ -4,7 +4,9 @@
 package shuntdemo
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,11 +42,11 @@
 }
 
 func (w *World) startDaemons() error {
-	as, err := freeAddresses(portsPerVM * w.Estate.VMs)
+	as, err := freeAddresses(shuntfake.ListenersPerVM * w.Estate.VMs)
 	if err != nil {
 		return err
 	}
-	w.PublishFleet(w.NewFleet(w.Estate.VMs, func(i int) string { return as[i] }))
+	w.PublishFleet(w.Estate.Fleet(w.Estate.VMs, func(i int) string { return as[i] }))
 	for _, v := range w.fleet.VMs {
 		d, err := w.StartDaemon(v)
 		if err != nil {
@@ -77,9 +79,10 @@
 
 // waitReady waits until every VM serves and every backend server has an owner.
 func (w *World) waitReady() error {
+	servers := slices.Collect(maps.Keys(w.Backends))
 	end := time.Now().Add(readyTime)
 	for time.Now().Before(end) {
-		if w.ready() {
+		if shuntdaemon.Settled(w.Daemons, servers) {
 			return nil
 		}
 		time.Sleep(readyPoll)
@@ -87,26 +90,6 @@
 	return errors.New("the VMs did not become ready")
 }
 
-func (w *World) ready() bool {
-	now := time.Now()
-	owned := map[string]bool{}
-	for _, d := range w.Daemons {
-		v := d.View()
-		if !v.Takes() {
-			return false
-		}
-		for id := range v.Leases() {
-			owned[id] = owned[id] || v.Lease(id, now).Held
-		}
-	}
-	for id := range w.Backends {
-		if !owned[id] {
-			return false
-		}
-	}
-	return true
-}
-
 // CallerAddresses returns the callers' listeners of all VMs.
 func (w *World) CallerAddresses() []string {
 	out := make([]string, len(w.fleet.VMs))
--- a/shuntfake/estate.go
+++ b/shuntfake/estate.go
@@ -117,6 +117,27 @@
 	return e.RegionDelay
 }
 
+// ListenersPerVM is the number of listeners of a VM: callers', peers', operators'.
+const ListenersPerVM = 3
+
+// Fleet returns a fleet of n VMs in one cell, spread over the zones; address
+// gives the addresses of their listeners by number, ListenersPerVM for each VM.
+func (e Estate) Fleet(n int, address func(i int) string) shuntconfig.Fleet {
+	f := shuntconfig.Fleet{Zones: e.Zones}
+	for i := range n {
+		f.VMs = append(f.VMs, shuntconfig.VM{
+			Name:            fmt.Sprintf("vm-%d", i+1),
+			Zone:            e.Zones[i%len(e.Zones)].Name,
+			Cell:            "cell-1",
+			InService:       true,
+			CallerAddress:   address(ListenersPerVM * i),
+			PeerAddress:     address(ListenersPerVM*i + 1),
+			OperatorAddress: address(ListenersPerVM*i + 2),
+		})
+	}
+	return f
+}
+
 // Templates returns the published templates, by name.
 func Templates() map[string]string {
 	head := `[Parameters.Services]
--- a/shuntfake/log.go
+++ b/shuntfake/log.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// CloseZones marks each backend server by whether its zone is in service in f.
+func (l *Log) CloseZones(f shuntconfig.Fleet, backends map[string]*Backend, now time.Time) {
+	for id, b := range backends {
+		l.Close(id, f.ZoneInService(b.Zone()), now)
+	}
+}
+
 func (l *Log) arrived(server string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/shuntlab/cluster.go
+++ b/shuntlab/cluster.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +21,10 @@
 )
 
 const (
-	cell      = "cell-1"
-	readyTime = 20 * time.Second
-	readyPoll = 20 * time.Millisecond
+	// firstListener is the port of a VM's first listener.
+	firstListener = 81
+	readyTime     = 20 * time.Second
+	readyPoll     = 20 * time.Millisecond
 )
 
 // Config is what a Cluster is made of.
@@ -119,18 +122,10 @@
 }
 
 func (x *Cluster) startFleet() {
-	x.fleet = shuntconfig.Fleet{Zones: x.config.Estate.Zones}
-	for i := range x.config.Estate.VMs {
-		x.fleet.VMs = append(x.fleet.VMs, shuntconfig.VM{
-			Name:            fmt.Sprintf("vm-%d", i+1),
-			Zone:            x.config.Estate.Zones[i%len(x.config.Estate.Zones)].Name,
-			Cell:            cell,
-			InService:       true,
-			CallerAddress:   fmt.Sprintf("10.0.0.%d:81", i+1),
-			PeerAddress:     fmt.Sprintf("10.0.0.%d:82", i+1),
-			OperatorAddress: fmt.Sprintf("10.0.0.%d:83", i+1),
-		})
-	}
+	e := x.config.Estate
+	x.fleet = e.Fleet(e.VMs, func(i int) string {
+		return fmt.Sprintf("10.0.0.%d:%d", i/shuntfake.ListenersPerVM+1, firstListener+i%shuntfake.ListenersPerVM)
+	})
 	x.PublishFleet(x.fleet)
 	x.Daemons = make([]*shuntdaemon.Daemon, len(x.fleet.VMs))
 	for i := range x.fleet.VMs {
@@ -151,14 +146,8 @@
 	if x.config.Wrap != nil {
 		connector = x.config.Wrap(v.Name, connector)
 	}
-	var seeds []string
-	for _, o := range x.fleet.VMs {
-		if o.Name != v.Name {
-			seeds = append(seeds, o.PeerAddress)
-		}
-	}
 	c := shuntdaemon.Config{
-		Settings:    shuntconfig.Settings{Name: v.Name, Zone: v.Zone, Cell: v.Cell, PeerAddresses: seeds},
+		Settings:    shuntconfig.Settings{Name: v.Name, Zone: v.Zone, Cell: v.Cell, PeerAddresses: x.fleet.PeerAddresses(v.Name)},
 		Reader:      x.Platform,
 		Connector:   connector,
 		Caller:      x.Net.Caller(v.Name, v.Zone),
@@ -266,10 +255,7 @@
 // PublishFleet publishes a Fleet document and books which servers are out.
 func (x *Cluster) PublishFleet(f shuntconfig.Fleet) {
 	x.fleet = f
-	now := time.Now()
-	for id, b := range x.Backends {
-		x.Log.Close(id, f.ZoneInService(b.Zone()), now)
-	}
+	x.Log.CloseZones(f, x.Backends, time.Now())
 	x.Platform.Publish(shuntconfig.FleetKey, shuntconfig.EncodeFleet(f))
 }
 
@@ -299,23 +285,7 @@
 }
 
 func (x *Cluster) ready() bool {
-	now := time.Now()
-	owned := map[string]bool{}
-	for _, d := range x.Daemons {
-		v := d.View()
-		if !v.Takes() {
-			return false
-		}
-		for id := range v.Leases() {
-			owned[id] = owned[id] || v.Lease(id, now).Held
-		}
-	}
-	for id := range x.Backends {
-		if !owned[id] {
-			return false
-		}
-	}
-	return true
+	return shuntdaemon.Settled(x.Daemons, slices.Collect(maps.Keys(x.Backends)))
 }
 
 // Stop ends all daemons. Everything that they started has ended when it returns.
--- a/shuntlab/net.go
+++ b/shuntlab/net.go
@@ -28,7 +28,6 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cut   map[pair]bool
-	calls int
 }
 
 type node struct {
@@ -65,13 +64,6 @@
 	n.cut[pair{b, a}] = cut
 }
 
-// Calls returns the number of calls so far.
-func (n *Net) Calls() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.calls
-}
-
 // Caller is one VM's end of a Net.
 type Caller struct {
 	net        *Net
@@ -84,7 +76,6 @@
 // Call implements the callers of all packages.
 func (c *Caller) Call(ctx context.Context, address, method string, args, reply any) error {
 	c.net.mu.Lock()
-	c.net.calls++
 	to, ok := c.net.nodes[address]
 	cut := ok && c.net.cut[pair{c.name, to.name}]
 	c.net.mu.Unlock()
--- a/shuntpeer/client.go
+++ b/shuntpeer/client.go
@@ -55,8 +55,6 @@
 type PoolConfig struct {
 	Key  []byte
 	Dial Dialer
-	// OnSilent is called for each connection that was closed as silent; nil is allowed.
-	OnSilent func(address string)
 }
 
 // Pool keeps one connection to each peer address, opened at need.
@@ -260,9 +258,6 @@
 			return
 		case ping != nil && time.Since(answered) > silenceTimeout:
 			klog.InfoS("Peer connection silent; closing it", "address", l.address)
-			if l.pool.config.OnSilent != nil {
-				l.pool.config.OnSilent(l.address)
-			}
 			return
 		case ping == nil && calls > 0 && time.Since(answered) >= pingInterval:
 			// Only a call that waits makes it worth asking.
--- a/shuntquery/coordinator.go
+++ b/shuntquery/coordinator.go
@@ -46,8 +46,6 @@
 	HedgeDelay time.Duration
 	// FreeHedges lifts the hedge budget.
 	FreeHedges bool
-	// FreeRetries lifts the retry budget.
-	FreeRetries bool
 	// RandomReplica ignores what is known of the replicas.
 	RandomReplica bool
 }
--- a/shuntquery/probe.go
+++ b/shuntquery/probe.go
@@ -28,6 +28,11 @@
 	return nil
 }
 
+// probeWait is when the shards held back go on though the probe has not answered.
+func (r *run) probeWait() (time.Time, bool) {
+	return r.probeEnd, r.probing && !r.suspect && len(r.held) > 0
+}
+
 // probed goes on with the shards held back, after an attempt that ran well.
 func (r *run) probed(now time.Time) {
 	r.probing = false
--- a/shuntquery/reply.go
+++ b/shuntquery/reply.go
@@ -135,7 +135,7 @@
 // retry sends the shard again within the budget: at once to a replica not
 // tried yet, after a pause to one that was.
 func (r *run) retry(h *shard, why shuntoutcome.Reason, now time.Time) {
-	if !r.c.config.Policy.FreeRetries && !r.budgets.retry.Take() {
+	if !r.budgets.retry.Take() {
 		r.c.config.Metrics.RetriesDenied.Inc()
 		r.fail(h, why, now)
 		return
--- a/shuntquery/run.go
+++ b/shuntquery/run.go
@@ -319,8 +319,8 @@
 	if p, ok := r.patience(); ok && p.Before(at) {
 		at = p
 	}
-	if r.probing && !r.suspect && len(r.held) > 0 && r.probeEnd.Before(at) {
-		at = r.probeEnd
+	if p, ok := r.probeWait(); ok && p.Before(at) {
+		at = p
 	}
 	if at.Before(now) {
 		return now
@@ -337,7 +337,7 @@
 		r.leaveStragglers(now)
 		return false
 	}
-	if r.probing && !r.suspect && len(r.held) > 0 && !now.Before(r.probeEnd) {
+	if p, ok := r.probeWait(); ok && !now.Before(p) {
 		r.probed(now)
 	}
 	var retry, hedge []int
