Forward callers' requests on the users' platform: the whole path, thin

Adds routes, catalog, connections to backend servers, server choice, calls, membership and the router as product packages, and the adapter that translates the platform's settings, store and headers.

--- a/cmd/mulberryshuntd/main.go
+++ b/cmd/mulberryshuntd/main.go
@@ -1,12 +1,17 @@
-// Command mulberryshuntd is the daemon that runs on every VM.
+// Command mulberryshuntd is the daemon that runs on every VM. With the argument
+// "platform" it takes its settings from the users' platform.
 package main
 
 import (
 	"os"
 
+	"mulberryshunt.example/mulberryshunt/platform"
 	"mulberryshunt.example/mulberryshunt/shuntcommand"
 )
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "platform" {
+		os.Exit(platform.Run(os.Stdout))
+	}
 	os.Exit(shuntcommand.Daemon(os.Args[1:], os.Stderr))
 }
--- /dev/null
+++ b/shuntcall/forward.go
@@ -0,0 +1,23 @@
+package shuntcall
+
+import (
+	"context"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntroute"
+	"mulberryshunt.example/mulberryshunt/shuntupstream"
+)
+
+// forwardHedgeFraction is the part of the goal after which a second server is
+// tried for a request that goes to one server.
+const forwardHedgeFraction = 0.5
+
+// Forward sends the request to one server of the service.
+func (c *Caller) Forward(ctx context.Context, route *shuntroute.Route, service shuntroute.Service, r shuntupstream.Request) Result {
+	return c.Do(ctx, Call{
+		Route:      route,
+		Service:    service,
+		Request:    r,
+		HedgeAfter: time.Duration(forwardHedgeFraction * float64(route.Goal)),
+	})
+}
--- /dev/null
+++ b/shuntcall/merge.go
@@ -0,0 +1,29 @@
+package shuntcall
+
+import (
+	"bytes"
+	"slices"
+)
+
+// recordBytes is the length of one record of a shard's answer.
+const recordBytes = 16
+
+// Greatest returns the top greatest records of the parts, greatest first,
+// compared byte by byte. Equal records all count. A remainder of a part that is
+// shorter than a record is not one.
+func Greatest(parts [][]byte, top int) []byte {
+	n := 0
+	for _, p := range parts {
+		n += len(p) / recordBytes
+	}
+	records := make([][]byte, 0, n)
+	for _, p := range parts {
+		for len(p) >= recordBytes {
+			records = append(records, p[:recordBytes])
+			p = p[recordBytes:]
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	records = records[:min(len(records), top)]
+	return bytes.Join(records, nil)
+}
--- /dev/null
+++ b/shuntcall/metrics.go
@@ -0,0 +1,47 @@
+package shuntcall
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mulberryshunt.example/mulberryshunt/shuntmetric"
+	"mulberryshunt.example/mulberryshunt/shuntupstream"
+)
+
+var (
+	docAttempts = shuntmetric.Doc{Name: "mulberryshunt_upstream_attempts_total", Labels: "Status", Type: "Counter", Text: "Attempts at backend servers, by how they ended.", Since: "0.2"}
+	docExtra    = shuntmetric.Doc{Name: "mulberryshunt_upstream_extra_total", Type: "Counter", Text: "Attempts beyond the first of a request at a service: hedges and retries.", Since: "0.2"}
+	docLatency  = shuntmetric.Doc{Name: "mulberryshunt_upstream_seconds", Type: "Histogram", Unit: "seconds", Text: "Time of attempts that were answered.", Since: "0.2"}
+)
+
+// MetricDocs describes the metrics of this package.
+func MetricDocs() []shuntmetric.Doc { return []shuntmetric.Doc{docAttempts, docExtra, docLatency} }
+
+// Metrics counts attempts.
+type Metrics struct {
+	Extra    *metrics.Counter
+	latency  *metrics.Histogram
+	statuses map[shuntupstream.Status]*metrics.Counter
+}
+
+// NewMetrics returns the metrics in set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	m := &Metrics{
+		Extra:    shuntmetric.Counter(set, docExtra, ""),
+		latency:  shuntmetric.Histogram(set, docLatency, ""),
+		statuses: map[shuntupstream.Status]*metrics.Counter{},
+	}
+	for s := shuntupstream.Answered; s <= shuntupstream.Cancelled; s++ {
+		m.statuses[s] = shuntmetric.Counter(set, docAttempts, fmt.Sprintf("Status=%q", s))
+	}
+	return m
+}
+
+func (m *Metrics) attempt(o shuntupstream.Outcome, took time.Duration) {
+	m.statuses[o.Status].Inc()
+	if o.Status == shuntupstream.Answered {
+		m.latency.Update(took.Seconds())
+	}
+}
--- /dev/null
+++ b/shuntlog/log.go
@@ -0,0 +1,107 @@
+// Package shuntlog writes the log without ever holding up what logs: lines go
+// through a bounded buffer, and those that find it full are dropped and counted.
+package shuntlog
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+)
+
+const (
+	// bufferedLines bounds the lines that wait for the writer.
+	bufferedLines = 2048
+	// batchBytes bounds one write.
+	batchBytes = 64 << 10
+	// flushInterval is how long lines wait, so that few writes carry many.
+	flushInterval = 100 * time.Millisecond
+)
+
+// Writer is a buffered writer that drops lines rather than block.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewWriter returns a writer to w, which runs on a goroutine of the group until
+// done is closed.
+func NewWriter(w io.Writer, group *shuntgroup.Group, done <-chan struct{}) *Writer {
+	l := &Writer{lines: make(chan []byte, bufferedLines)}
+	group.Go(func() { l.run(w, done) })
+	return l
+}
+
+// Write implements io.Writer. It never blocks and never fails.
+func (l *Writer) Write(p []byte) (int, error) {
+	select {
+	case l.lines <- bytes.Clone(p):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped returns the number of lines dropped so far.
+func (l *Writer) Dropped() int64 { return l.dropped.Load() }
+
+func (l *Writer) run(w io.Writer, done <-chan struct{}) {
+	t := time.NewTicker(flushInterval)
+	defer t.Stop()
+	reported := int64(0)
+	for {
+		select {
+		case <-t.C:
+			if d := l.dropped.Load(); d > reported {
+				_, _ = fmt.Fprintf(w, "log lines dropped: %d\n", d-reported)
+				reported = d
+			}
+			l.flush(w)
+		case <-done:
+			l.flush(w)
+			return
+		}
+	}
+}
+
+func (l *Writer) flush(w io.Writer) {
+	var b bytes.Buffer
+	for {
+		select {
+		case p := <-l.lines:
+			b.Write(p)
+			if b.Len() < batchBytes {
+				continue
+			}
+		default:
+		}
+		if b.Len() == 0 {
+			return
+		}
+		// There is nowhere to report a log that can't be written.
+		_, _ = w.Write(b.Bytes())
+		b.Reset()
+	}
+}
+
+// Setup sends klog's lines to w, up to the verbosity.
+func Setup(w io.Writer, verbosity int) {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	for name, value := range map[string]string{
+		"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true",
+		"v": strconv.Itoa(verbosity),
+	} {
+		if err := fs.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	klog.SetOutput(w)
+}
--- /dev/null
+++ b/shuntmember/node.go
@@ -0,0 +1,177 @@
+package shuntmember
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntcatalog"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
+)
+
+const (
+	// beatInterval is between datagrams of a VM.
+	beatInterval = 400 * time.Millisecond
+	// fanout is how many live VMs get each datagram.
+	fanout = 5
+	// searchEvery is after how many beats silent VMs and seeds are tried too.
+	searchEvery = 2
+	// mostReports bounds the reports of one datagram.
+	mostReports = 60
+	// readBuffer holds one datagram.
+	readBuffer = 64 << 10
+)
+
+// Config is what a Node is made of.
+type Config struct {
+	Address netip.AddrPort
+	Zone    string
+	// Seeds returns the addresses that are tried while few VMs are known.
+	Seeds  func() []netip.AddrPort
+	Group  *shuntgroup.Group
+	Random *shuntrandom.Source
+	// State returns the published state that this VM knows, for other VMs.
+	State func() shuntcatalog.State
+}
+
+// Node takes part in the fleet.
+type Node struct {
+	config   Config
+	updates  chan func(*Roster)
+	snapshot atomic.Pointer[Snapshot]
+	socket   *net.UDPConn
+	listener net.Listener
+}
+
+// NewNode returns a node that has not started.
+func NewNode(c Config) *Node {
+	n := &Node{config: c, updates: make(chan func(*Roster), 64)}
+	n.snapshot.Store(NewRoster(c.Address, c.Zone, 0).Snapshot(time.Now()))
+	return n
+}
+
+// Snapshot returns who lives.
+func (n *Node) Snapshot() *Snapshot { return n.snapshot.Load() }
+
+// Size implements shuntcall.Fleet.
+func (n *Node) Size() int { return n.Snapshot().Size() }
+
+// InCharge implements shuntcall.Fleet.
+func (n *Node) InCharge(name string) bool { return n.Snapshot().InCharge(name) }
+
+// Start opens the node's ports and takes part until ctx ends.
+func (n *Node) Start(ctx context.Context) error {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.config.Address))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	listener, err := net.Listen("tcp4", n.config.Address.String())
+	if err != nil {
+		_ = socket.Close()
+		return errors.Trace(err)
+	}
+	n.socket, n.listener = socket, listener
+	context.AfterFunc(ctx, func() {
+		_ = socket.Close()
+		_ = listener.Close()
+	})
+	n.config.Group.Go(func() { n.receive(ctx) })
+	n.config.Group.Go(func() { n.control(ctx) })
+	n.config.Group.Go(func() { n.serveState(ctx) })
+	return nil
+}
+
+// Update changes what this VM reports of itself, and tells the others at once.
+func (n *Node) Update(u func(*Roster)) {
+	select {
+	case n.updates <- u:
+	default:
+		klog.InfoS("Change of this VM's report dropped", "queued", len(n.updates))
+	}
+}
+
+// control is the one goroutine that touches the roster.
+func (n *Node) control(ctx context.Context) {
+	r := NewRoster(n.config.Address, n.config.Zone, uint64(time.Now().UnixMilli()))
+	t := time.NewTicker(beatInterval)
+	defer t.Stop()
+	for beats := 0; ; {
+		select {
+		case u := <-n.updates:
+			before := r.Self()
+			u(r)
+			if r.Self().Leaving != before.Leaving || r.Self().Serving != before.Serving {
+				r.Beat()
+				n.send(r, true)
+			}
+		case now := <-t.C:
+			beats++
+			r.Beat()
+			r.Expire(now)
+			n.send(r, beats%searchEvery == 0)
+		case <-ctx.Done():
+			return
+		}
+		n.snapshot.Store(r.Snapshot(time.Now()))
+	}
+}
+
+func (n *Node) send(r *Roster, search bool) {
+	alive, silent := r.Addresses()
+	n.shuffle(alive)
+	to := alive[:min(len(alive), fanout)]
+	if search || len(alive) == 0 {
+		if seeds := n.config.Seeds(); len(seeds) > 0 {
+			to = append(to, seeds[n.config.Random.Below(len(seeds))])
+		}
+		if len(silent) > 0 {
+			to = append(to, silent[n.config.Random.Below(len(silent))])
+		}
+	}
+	b := encodeReports(r.Reports(mostReports))
+	for _, a := range to {
+		if a == n.config.Address {
+			continue
+		}
+		if _, err := n.socket.WriteToUDPAddrPort(b, a); err != nil {
+			klog.V(1).InfoS("Datagram not sent", "vm", a, "reason", err.Error())
+		}
+	}
+}
+
+func (n *Node) shuffle(a []netip.AddrPort) {
+	for i := len(a) - 1; i > 0; i-- {
+		j := n.config.Random.Below(i + 1)
+		a[i], a[j] = a[j], a[i]
+	}
+}
+
+func (n *Node) receive(ctx context.Context) {
+	b := make([]byte, readBuffer)
+	for ctx.Err() == nil {
+		size, from, err := n.socket.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				klog.InfoS("Datagram not received", "reason", err.Error())
+				continue
+			}
+			return
+		}
+		reports, err := decodeReports(b[:size])
+		if err != nil {
+			klog.InfoS("Datagram passed over", "from", from, "bytes", size, "reason", err.Error())
+			continue
+		}
+		select {
+		case n.updates <- func(r *Roster) { r.Hear(reports, time.Now()) }:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/shuntroute/table.go
@@ -0,0 +1,85 @@
+package shuntroute
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// TableConfig is what a Table is made of.
+type TableConfig struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Table is one version of the routes. It is immutable.
+type Table struct {
+	version  int64
+	limits   Limits
+	hosts    map[string][]*Route
+	services map[string]Service
+}
+
+// NewTable returns the table of c.
+func NewTable(c TableConfig) *Table {
+	t := &Table{version: c.Version, limits: c.Limits, hosts: map[string][]*Route{}, services: map[string]Service{}}
+	for _, r := range c.Routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], &r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Version grows with each published table.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the bounds on callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns the service of that name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path. A port in host is passed over.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[hostName(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Regions returns the regions that the host's routes are bound to; none where
+// any route of the host is unbound.
+func (t *Table) Regions(host string) []string {
+	var out []string
+	for _, r := range t.hosts[hostName(host)] {
+		if len(r.Regions) == 0 {
+			return nil
+		}
+		for _, v := range r.Regions {
+			if !slices.Contains(out, v) {
+				out = append(out, v)
+			}
+		}
+	}
+	return out
+}
+
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/shuntrouter/metrics.go
@@ -0,0 +1,39 @@
+package shuntrouter
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mulberryshunt.example/mulberryshunt/shuntcall"
+	"mulberryshunt.example/mulberryshunt/shuntmetric"
+)
+
+var (
+	docRequests = shuntmetric.Doc{Name: "mulberryshunt_router_requests_total", Labels: "End", Type: "Counter", Text: "Callers' requests, by how they ended.", Since: "0.2"}
+	docSeconds  = shuntmetric.Doc{Name: "mulberryshunt_router_seconds", Labels: "End", Type: "Histogram", Unit: "seconds", Text: "Time from a request's arrival to its answer.", Since: "0.2"}
+)
+
+// MetricDocs describes the metrics of this package.
+func MetricDocs() []shuntmetric.Doc { return []shuntmetric.Doc{docRequests, docSeconds} }
+
+type frontMetrics struct {
+	requests map[shuntcall.End]*metrics.Counter
+	seconds  map[shuntcall.End]*metrics.Histogram
+}
+
+func newFrontMetrics(set *metrics.Set) *frontMetrics {
+	m := &frontMetrics{requests: map[shuntcall.End]*metrics.Counter{}, seconds: map[shuntcall.End]*metrics.Histogram{}}
+	for e := shuntcall.Served; e <= shuntcall.Expired; e++ {
+		label := fmt.Sprintf("End=%q", e)
+		m.requests[e] = shuntmetric.Counter(set, docRequests, label)
+		m.seconds[e] = shuntmetric.Histogram(set, docSeconds, label)
+	}
+	return m
+}
+
+func (m *frontMetrics) end(e shuntcall.End, took time.Duration) {
+	m.requests[e].Inc()
+	m.seconds[e].Update(took.Seconds())
+}
--- /dev/null
+++ b/shuntrouter/router.go
@@ -0,0 +1,165 @@
+package shuntrouter
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
+	"mulberryshunt.example/mulberryshunt/shuntcall"
+	"mulberryshunt.example/mulberryshunt/shuntcatalog"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntmember"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
+	"mulberryshunt.example/mulberryshunt/shuntroute"
+	"mulberryshunt.example/mulberryshunt/shuntupstream"
+)
+
+// sweepInterval is how often idle connections and old records are dropped.
+const sweepInterval = time.Second
+
+// Settings are what a router starts with.
+type Settings struct {
+	Name   string
+	Zone   string
+	Region string
+	// Peer is this VM's address for other VMs, datagrams and connections.
+	Peer netip.AddrPort
+	// Regions gives the region of each availability zone.
+	Regions map[string]string
+	// RetryRatio, RetrySlack and RetryWindow bound extra attempts at a service,
+	// from all VMs together.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ColdFactor and ColdSlack give what a cold server bears in a second: its
+	// rate times the factor, plus the slack.
+	ColdFactor float64
+	ColdSlack  float64
+	// LapseGrace is how long a server whose entry is gone stays a last choice.
+	LapseGrace time.Duration
+	// WatchWait is how long one watch of the platform waits.
+	WatchWait time.Duration
+	// Grace is the time from the order to end until the process is killed.
+	Grace time.Duration
+}
+
+// Config is what a Router is made of.
+type Config struct {
+	Settings Settings
+	Headers  Headers
+	Source   shuntcatalog.Source
+	Decoder  shuntcatalog.Decoder
+	// Seeds returns the other VMs' addresses that are tried first.
+	Seeds   func() []netip.AddrPort
+	Group   *shuntgroup.Group
+	Metrics *metrics.Set
+}
+
+// Router forwards callers' requests.
+type Router struct {
+	config   Config
+	follower *shuntcatalog.Follower
+	node     *shuntmember.Node
+	pool     *shuntupstream.Pool
+	board    *shuntbalance.Board
+	cold     *shuntbalance.ColdGate
+	caller   *shuntcall.Caller
+	random   *shuntrandom.Source
+	metrics  *frontMetrics
+	splits   splits
+	leaving  atomic.Bool
+}
+
+// New returns a router that has not started.
+func New(c Config) *Router {
+	s := c.Settings
+	r := &Router{
+		config:  c,
+		random:  shuntrandom.New(0),
+		pool:    shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
+		board:   shuntbalance.NewBoard(shuntbalance.BoardConfig{Zone: s.Zone, Region: s.Region}),
+		cold:    shuntbalance.NewColdGate(),
+		metrics: newFrontMetrics(c.Metrics),
+	}
+	r.node = shuntmember.NewNode(shuntmember.Config{
+		Address: s.Peer, Zone: s.Zone, Seeds: c.Seeds, Group: c.Group, Random: r.random,
+		State: func() shuntcatalog.State { return r.follower.State() },
+	})
+	r.follower = shuntcatalog.NewFollower(shuntcatalog.FollowerConfig{
+		Catalog: shuntcatalog.New(shuntcatalog.Config{Decoder: c.Decoder, LapseGrace: s.LapseGrace}),
+		Source:  c.Source, Peers: r.node, Group: c.Group, Random: r.random, WatchWait: s.WatchWait, OnView: r.viewChanged,
+	})
+	r.caller = shuntcall.New(shuntcall.Config{
+		Pool: r.pool, Board: r.board, Cold: r.cold, Fleet: r.node, Group: c.Group, View: r.follower.View, Headers: c.Headers.Upstream,
+		Budget: shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{
+			Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, VMs: r.node.Size,
+		}),
+		ColdBurst: func(v shuntroute.Service) float64 { return v.ColdRate*s.ColdFactor + s.ColdSlack },
+		Metrics:   shuntcall.NewMetrics(c.Metrics),
+	})
+	return r
+}
+
+// Start joins the fleet and follows the platform until ctx ends.
+func (r *Router) Start(ctx context.Context) error {
+	if err := r.node.Start(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	r.follower.Start(ctx)
+	r.config.Group.Go(func() { r.sweep(ctx) })
+	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.Peer)
+	return nil
+}
+
+func (r *Router) viewChanged(v *shuntroute.View) {
+	r.node.Update(func(m *shuntmember.Roster) {
+		m.SetRevision(v.Revision)
+		m.SetServing(v.Table != nil)
+	})
+}
+
+func (r *Router) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			r.pool.Sweep(now)
+			r.board.Prune(now)
+			r.cold.Prune(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready says whether callers are to be sent to this VM.
+func (r *Router) Ready() bool { return !r.leaving.Load() && r.follower.View().Table != nil }
+
+// Leave makes the VM no longer ready, and tells the others.
+func (r *Router) Leave() {
+	r.leaving.Store(true)
+	r.node.Update(func(m *shuntmember.Roster) { m.SetLeaving() })
+}
+
+// Entries returns the VMs that callers in the zone are to connect to for the
+// host.
+func (r *Router) Entries(host, zone, region string) []netip.Addr {
+	regionOf := func(z string) string { return r.config.Settings.Regions[z] }
+	s := r.node.Snapshot()
+	near := s.Near(zone, region, regionOf)
+	out := make([]netip.Addr, 0, len(near))
+	for _, m := range near {
+		out = append(out, m.Address.Addr())
+	}
+	if len(out) == 0 && !r.leaving.Load() {
+		out = append(out, s.Self.Addr())
+	}
+	return out
+}
