Send callers of a region to as few VMs as carry its load; let a few VMs read for all

Cause: at 62 VMs every VM would read the platform and open connections to every backend server; reads and connections are bounded and priced.

Entries are the strongest VMs of a region, at least two, more as the reported load grows. They have 0.8 of common limits (connections, retry slack), the others divide the rest. Two VMs of a region read the platform; the others take what changed from them, and read themselves when too few do. A call that ends waits for its own attempts, so that a request that reached no server is refused with a promise instead of failed.

--- a/shuntbalance/budget.go
+++ b/shuntbalance/budget.go
@@ -20,8 +20,8 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
-	// VMs returns among how many VMs the slack is shared; at least 1.
-	VMs func() int
+	// Share returns this VM's part of the slack, from 0 to 1.
+	Share func() float64
 }
 
 // RetryBudget bounds the extra attempts at each service: hedges and retries
@@ -84,7 +84,7 @@
 		requests += w.requests[j]
 		extras += w.extras[j]
 	}
-	allowed := budgetShare * (b.config.Ratio*float64(requests) + b.config.Slack/float64(max(1, b.config.VMs())))
+	allowed := budgetShare * (b.config.Ratio*float64(requests) + b.config.Slack*b.config.Share())
 	if float64(extras+1) > allowed*(1-reserve) {
 		return false
 	}
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -27,8 +28,8 @@
 
 // Fleet is what a caller needs to know of the other VMs.
 type Fleet interface {
-	// Size returns how many VMs share the limits of backend servers.
-	Size() int
+	// Share returns this VM's part of the limits of backend servers.
+	Share() float64
 	// InCharge says whether this VM is the one that sends to a cold server.
 	InCharge(server string) bool
 }
@@ -52,12 +53,16 @@
 
 // Caller sends requests to the servers of services.
 type Caller struct {
-	config Config
+	config   Config
+	attempts atomic.Uint64
 }
 
 // New returns a Caller.
 func New(c Config) *Caller { return &Caller{config: c} }
 
+// Attempts returns the number of attempts so far.
+func (c *Caller) Attempts() uint64 { return c.attempts.Load() }
+
 // Call is one request to one service.
 type Call struct {
 	Route   *shuntroute.Route
@@ -146,11 +151,24 @@
 				r.launch("Hedge")
 			}
 		case <-r.ctx.Done():
+			r.collect()
 			return r.finish(r.ctx.Err().Error())
 		}
 	}
 }
 
+// collect waits for attempts that the end of the context has ended, so that it
+// is known whether any of them had been sent.
+func (r *call) collect() {
+	for r.open > 0 {
+		e := <-r.ends
+		r.open--
+		if e.outcome.Status.MayHaveRun() {
+			r.mayRun++
+		}
+	}
+}
+
 func (r *call) hedgeTimer() *time.Timer {
 	if r.call.HedgeAfter <= 0 || !r.call.Route.Idempotent {
 		t := time.NewTimer(time.Hour)
@@ -278,8 +296,9 @@
 
 func (c *Caller) attempt(ctx context.Context, in Call, s shuntroute.Server) attemptEnd {
 	started := time.Now()
+	c.attempts.Add(1)
 	a := c.config.Board.Begin(s)
-	share := max(1, int(float64(in.Service.MaxConns)*(1-connReserve)/float64(max(1, c.config.Fleet.Size()))))
+	share := max(1, int(float64(in.Service.MaxConns)*(1-connReserve)*c.config.Fleet.Share()))
 	o := c.config.Pool.Do(ctx, shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: share}, in.Route.Idempotent, in.Request)
 	c.config.Board.End(s, a, boardResult(o))
 	c.config.Metrics.attempt(o, time.Since(started))
--- a/shuntcatalog/catalog.go
+++ b/shuntcatalog/catalog.go
@@ -17,15 +17,22 @@
 	LapseGrace time.Duration
 }
 
+// maxRemoved bounds the removals that are kept for other VMs.
+const maxRemoved = 4096
+
 // Catalog is the newest known state of all records. It is not safe for use by
 // several goroutines.
 type Catalog struct {
 	config   Config
 	revision int64
 	records  map[string]Record
-	table    *shuntroute.Table
-	servers  map[string]shuntroute.Server
-	zones    map[string]string
+	// removed holds the latest removals; floor is the revision up to which they
+	// may have been forgotten.
+	removed []Record
+	floor   int64
+	table   *shuntroute.Table
+	servers map[string]shuntroute.Server
+	zones   map[string]string
 }
 
 // New returns an empty Catalog.
@@ -36,13 +43,24 @@
 // Revision is how far the catalog has followed.
 func (c *Catalog) Revision() int64 { return c.revision }
 
-// State returns all records, for other VMs. The records are shared.
-func (c *Catalog) State() State {
-	out := State{Revision: c.revision, Records: make([]Record, 0, len(c.records))}
+// Since returns what changed after the revision, for other VMs. The records are
+// shared.
+func (c *Catalog) Since(revision int64) Delta {
+	d := Delta{State: State{Revision: c.revision}, Whole: revision < c.floor}
 	for _, r := range c.records {
-		out.Records = append(out.Records, r)
+		if d.Whole || r.Revision > revision {
+			d.Records = append(d.Records, r)
+		}
+	}
+	if d.Whole {
+		return d
 	}
-	return out
+	for _, r := range c.removed {
+		if r.Revision > revision {
+			d.Records = append(d.Records, r)
+		}
+	}
+	return d
 }
 
 // Replace takes over a whole state: what it does not hold is gone. A state
@@ -58,7 +76,7 @@
 	}
 	for key := range c.records {
 		if !listed[key] {
-			c.remove(key, now)
+			c.remove(key, s.Revision, now)
 		}
 	}
 	c.revision = s.Revision
@@ -72,7 +90,7 @@
 			continue
 		}
 		if r.Removed {
-			c.remove(r.Key, now)
+			c.remove(r.Key, r.Revision, now)
 		} else {
 			c.put(r, now)
 		}
@@ -123,8 +141,13 @@
 	}
 }
 
-func (c *Catalog) remove(key string, now time.Time) {
+func (c *Catalog) remove(key string, revision int64, now time.Time) {
 	delete(c.records, key)
+	c.removed = append(c.removed, Record{Key: key, Revision: revision, Removed: true})
+	if len(c.removed) > maxRemoved {
+		c.floor = c.removed[0].Revision
+		c.removed = c.removed[1:]
+	}
 	if zone, ok := c.zones[key]; ok {
 		delete(c.zones, key)
 		klog.InfoS("Availability zone back in service", "zone", zone)
--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -25,7 +25,7 @@
 	// costs few calls.
 	watchPause = 200 * time.Millisecond
 	// peerInterval is how often a VM looks whether another one knows more.
-	peerInterval = 200 * time.Millisecond
+	peerInterval = 100 * time.Millisecond
 	// expireInterval is how often lapsed servers are looked at.
 	expireInterval = 100 * time.Millisecond
 	// failedWatches is after how many failures in a row the state is listed anew.
@@ -34,8 +34,10 @@
 
 // Peers are the other VMs, as a second source.
 type Peers interface {
-	// Newer returns a state newer than revision from a VM that has one, or false.
-	Newer(ctx context.Context, revision int64) (State, bool)
+	// Newer returns what changed after revision from a VM that knows, or false.
+	Newer(ctx context.Context, revision int64) (Delta, bool)
+	// Reads says whether this VM is to read the platform: a few do for all.
+	Reads() bool
 }
 
 // FollowerConfig is what a Follower is made of.
@@ -47,8 +49,10 @@
 	Random  *shuntrandom.Source
 	// WatchWait is how long one watch waits for changes.
 	WatchWait time.Duration
-	// OnView is called with each new view, from one goroutine.
-	OnView func(*shuntroute.View)
+	// OnView is called with each new view, and OnReads when the platform starts
+	// or stops answering this VM.
+	OnView  func(*shuntroute.View)
+	OnReads func(reads bool)
 }
 
 // Follower keeps a catalog up to date.
@@ -56,7 +60,8 @@
 	config  FollowerConfig
 	updates chan func(c *Catalog) bool
 	view    atomic.Pointer[shuntroute.View]
-	state   atomic.Pointer[State]
+	// revision is how far the catalog has followed.
+	revision atomic.Int64
 	// reads says whether the last call of the platform succeeded.
 	reads atomic.Bool
 }
@@ -65,15 +70,21 @@
 func NewFollower(c FollowerConfig) *Follower {
 	f := &Follower{config: c, updates: make(chan func(*Catalog) bool)}
 	f.view.Store(shuntroute.NewView(nil, 0, nil, nil))
-	f.state.Store(&State{})
 	return f
 }
 
 // View returns the newest view.
 func (f *Follower) View() *shuntroute.View { return f.view.Load() }
 
-// State returns the newest state, for other VMs.
-func (f *Follower) State() State { return *f.state.Load() }
+// Since returns what changed after the revision, for other VMs.
+func (f *Follower) Since(ctx context.Context, revision int64) Delta {
+	var d Delta
+	f.update(ctx, func(c *Catalog) bool {
+		d = c.Since(revision)
+		return false
+	})
+	return d
+}
 
 // Reads says whether the platform answered last time.
 func (f *Follower) Reads() bool { return f.reads.Load() }
@@ -101,8 +112,7 @@
 			return
 		}
 		if changed {
-			s := c.State()
-			f.state.Store(&s)
+			f.revision.Store(c.Revision())
 			v := c.View()
 			f.view.Store(v)
 			f.config.OnView(v)
@@ -132,8 +142,9 @@
 
 func (f *Follower) apply(ctx context.Context, s State) {
 	f.update(ctx, func(c *Catalog) bool {
+		before := c.Revision()
 		c.Apply(s, time.Now())
-		return len(s.Records) > 0
+		return c.Revision() > before
 	})
 }
 
@@ -142,6 +153,13 @@
 func (f *Follower) follow(ctx context.Context) {
 	failures := failedWatches
 	for ctx.Err() == nil {
+		if !f.config.Peers.Reads() && f.revision.Load() > 0 {
+			// Other VMs read for this one.
+			f.noteRead(ctx, errNotReading)
+			failures = failedWatches
+			pause(ctx, peerInterval)
+			continue
+		}
 		err := f.step(ctx, failures >= failedWatches)
 		f.noteRead(ctx, err)
 		switch {
@@ -169,38 +187,48 @@
 	}
 	ctx2, cancel := context.WithTimeout(ctx, f.config.WatchWait+answerSlack)
 	defer cancel()
-	s, err := f.config.Source.Watch(ctx2, f.state.Load().Revision, f.config.WatchWait)
+	s, err := f.config.Source.Watch(ctx2, f.revision.Load(), f.config.WatchWait)
 	if err == nil {
 		f.apply(ctx, s)
 	}
 	return err
 }
 
+// errNotReading stands for a platform that this VM leaves to others.
+var errNotReading = errors.New("other VMs read it")
+
 func (f *Follower) noteRead(ctx context.Context, err error) {
 	ok := err == nil || errors.Is(err, ErrCompacted)
 	if f.reads.Swap(ok) == ok || ctx.Err() != nil {
 		return
 	}
+	f.config.OnReads(ok)
 	if ok {
-		klog.InfoS("Platform answers again", "revision", f.state.Load().Revision)
+		klog.InfoS("Platform read", "revision", f.revision.Load())
 		return
 	}
-	klog.InfoS("Platform does not answer", "reason", err.Error(), "revision", f.state.Load().Revision)
+	klog.InfoS("Platform not read", "reason", err.Error(), "revision", f.revision.Load())
 }
 
-// followPeers takes the state of other VMs where they know more.
+// followPeers takes what other VMs know to have changed while this one does not
+// read the platform.
 func (f *Follower) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, peerInterval)
 		if f.reads.Load() {
 			continue
 		}
-		s, ok := f.config.Peers.Newer(ctx, f.state.Load().Revision)
+		before := f.revision.Load()
+		d, ok := f.config.Peers.Newer(ctx, before)
 		if !ok {
 			continue
 		}
-		klog.InfoS("State taken from another VM", "revision", s.Revision, "before", f.state.Load().Revision)
-		f.replace(ctx, s)
+		klog.InfoS("Changes taken from another VM", "revision", d.Revision, "before", before, "records", len(d.Records), "whole", d.Whole)
+		if d.Whole {
+			f.replace(ctx, d.State)
+		} else {
+			f.apply(ctx, d.State)
+		}
 	}
 }
 
--- a/shuntcatalog/record.go
+++ b/shuntcatalog/record.go
@@ -24,6 +24,13 @@
 	Records  []Record
 }
 
+// Delta is what changed after some revision.
+type Delta struct {
+	State
+	// Whole says that the state is everything: what it does not hold is gone.
+	Whole bool
+}
+
 // Fact is what a record says: exactly one of the fields is set.
 type Fact struct {
 	Table  *shuntroute.Table
--- a/shuntmember/codec.go
+++ b/shuntmember/codec.go
@@ -11,6 +11,7 @@
 	datagramVersion = 1
 	flagServing     = 1
 	flagLeaving     = 2
+	flagReading     = 4
 	// maxDatagram bounds a datagram, so that it is not cut into fragments.
 	maxDatagram = 1400
 )
@@ -37,6 +38,8 @@
 	b = binary.AppendUvarint(b, r.Start)
 	b = binary.AppendUvarint(b, r.Count)
 	b = binary.AppendUvarint(b, uint64(r.Revision))
+	b = binary.AppendUvarint(b, uint64(r.Capacity))
+	b = binary.AppendUvarint(b, uint64(r.Load))
 	var flags byte
 	if r.Serving {
 		flags |= flagServing
@@ -44,6 +47,9 @@
 	if r.Leaving {
 		flags |= flagLeaving
 	}
+	if r.Reading {
+		flags |= flagReading
+	}
 	b = append(b, flags, byte(len(r.Zone)))
 	return append(b, r.Zone...)
 }
@@ -72,7 +78,7 @@
 	}
 	r := Report{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))}
 	b = b[addressBytes:]
-	var numbers [3]uint64
+	var numbers [5]uint64
 	for i := range numbers {
 		v, n := binary.Uvarint(b)
 		if n <= 0 {
@@ -84,7 +90,8 @@
 		return Report{}, nil, errDatagram
 	}
 	r.Start, r.Count, r.Revision = numbers[0], numbers[1], int64(numbers[2])
-	r.Serving, r.Leaving = b[0]&flagServing != 0, b[0]&flagLeaving != 0
+	r.Capacity, r.Load = uint32(numbers[3]), uint32(numbers[4])
+	r.Serving, r.Leaving, r.Reading = b[0]&flagServing != 0, b[0]&flagLeaving != 0, b[0]&flagReading != 0
 	r.Zone = string(b[2 : 2+int(b[1])])
 	return r, b[2+int(b[1]):], nil
 }
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -32,12 +32,16 @@
 type Config struct {
 	Address netip.AddrPort
 	Zone    string
+	// Capacity is what this VM can carry, in thousandths of a core.
+	Capacity uint32
+	// RegionOf gives the region of an availability zone.
+	RegionOf func(zone string) string
 	// Seeds returns the addresses that are tried while few VMs are known.
 	Seeds  func() []netip.AddrPort
 	Group  *shuntgroup.Group
 	Random *shuntrandom.Source
-	// State returns the published state that this VM knows, for other VMs.
-	State func() shuntcatalog.State
+	// Since returns what this VM knows to have changed after a revision.
+	Since func(revision int64) shuntcatalog.Delta
 }
 
 // Node takes part in the fleet.
@@ -52,15 +56,20 @@
 // NewNode returns a node that has not started.
 func NewNode(c Config) *Node {
 	n := &Node{config: c, updates: make(chan func(*Roster), 64)}
-	n.snapshot.Store(NewRoster(c.Address, c.Zone, 0).Snapshot(time.Now()))
+	n.snapshot.Store(n.newRoster().Snapshot(time.Now(), false))
 	return n
 }
 
+func (n *Node) newRoster() *Roster {
+	c := n.config
+	return NewRoster(Report{Address: c.Address, Zone: c.Zone, Capacity: c.Capacity, Start: uint64(time.Now().UnixMilli())}, c.RegionOf)
+}
+
 // Snapshot returns who lives.
 func (n *Node) Snapshot() *Snapshot { return n.snapshot.Load() }
 
-// Size implements shuntcall.Fleet.
-func (n *Node) Size() int { return n.Snapshot().Size() }
+// Share implements shuntcall.Fleet.
+func (n *Node) Share() float64 { return n.Snapshot().Share() }
 
 // InCharge implements shuntcall.Fleet.
 func (n *Node) InCharge(name string) bool { return n.Snapshot().InCharge(name) }
@@ -98,7 +107,8 @@
 
 // control is the one goroutine that touches the roster.
 func (n *Node) control(ctx context.Context) {
-	r := NewRoster(n.config.Address, n.config.Zone, uint64(time.Now().UnixMilli()))
+	r := n.newRoster()
+	started := time.Now()
 	t := time.NewTicker(beatInterval)
 	defer t.Stop()
 	for beats := 0; ; {
@@ -106,7 +116,7 @@
 		case u := <-n.updates:
 			before := r.Self()
 			u(r)
-			if r.Self().Leaving != before.Leaving || r.Self().Serving != before.Serving {
+			if n.urgent(before, r.Self()) {
 				r.Beat()
 				n.send(r, true)
 			}
@@ -118,10 +128,17 @@
 		case <-ctx.Done():
 			return
 		}
-		n.snapshot.Store(r.Snapshot(time.Now()))
+		now := time.Now()
+		n.snapshot.Store(r.Snapshot(now, now.Sub(started) > settleTime))
 	}
 }
 
+// urgent says whether the others are to hear of a change of this VM's report at
+// once.
+func (n *Node) urgent(before, after Report) bool {
+	return after.Leaving != before.Leaving || after.Serving != before.Serving || after.Reading != before.Reading || after.Revision > before.Revision
+}
+
 func (n *Node) send(r *Roster, search bool) {
 	alive, silent := r.Addresses()
 	n.shuffle(alive)
--- a/shuntmember/roster.go
+++ b/shuntmember/roster.go
@@ -2,10 +2,8 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 )
 
@@ -27,9 +25,15 @@
 	Start uint64
 	// Count grows while the process lives.
 	Count uint64
-	// Serving VMs know the routes; Leaving ones are about to end.
+	// Serving VMs know the routes; Leaving ones are about to end; the platform
+	// answers Reading ones.
 	Serving bool
 	Leaving bool
+	Reading bool
+	// Capacity is in thousandths of a core, Load in attempts at backend servers
+	// a second.
+	Capacity uint32
+	Load     uint32
 	// Revision is that of the newest published change the VM knows.
 	Revision int64
 }
@@ -44,26 +48,18 @@
 	alive  bool
 }
 
-// Member is a VM that is held for alive.
-type Member struct {
-	Address netip.AddrPort
-	Zone    string
-	Serving bool
-	// Revision is that of the newest published change the VM knows.
-	Revision int64
-}
-
 // Roster is what one VM knows of all VMs. It is not safe for use by several
 // goroutines.
 type Roster struct {
-	self    Report
-	members map[netip.AddrPort]*member
+	self     Report
+	regionOf func(zone string) string
+	members  map[netip.AddrPort]*member
 }
 
-// NewRoster returns a roster that knows this VM alone. start is the time of the
-// process's start, in milliseconds.
-func NewRoster(self netip.AddrPort, zone string, start uint64) *Roster {
-	return &Roster{self: Report{Address: self, Zone: zone, Start: start}, members: map[netip.AddrPort]*member{}}
+// NewRoster returns a roster that knows this VM alone; self.Start is the time of
+// the process's start, in milliseconds. regionOf gives the region of a zone.
+func NewRoster(self Report, regionOf func(zone string) string) *Roster {
+	return &Roster{self: self, regionOf: regionOf, members: map[netip.AddrPort]*member{}}
 }
 
 // Beat counts one more sign of life of this VM.
@@ -75,6 +71,12 @@
 // SetLeaving says that this VM is about to end.
 func (r *Roster) SetLeaving() { r.self.Leaving = true }
 
+// SetLoad says how many attempts at backend servers a second this VM makes.
+func (r *Roster) SetLoad(load uint32) { r.self.Load = load }
+
+// SetReading says whether the platform answers this VM.
+func (r *Roster) SetReading(reading bool) { r.self.Reading = reading }
+
 // SetRevision says how far this VM has followed what is published.
 func (r *Roster) SetRevision(revision int64) { r.self.Revision = revision }
 
@@ -146,74 +148,3 @@
 	}
 	return alive, silent
 }
-
-// Snapshot returns the immutable view that traffic goes by.
-func (r *Roster) Snapshot(now time.Time) *Snapshot {
-	s := &Snapshot{Self: r.self.Address, size: 1}
-	if !r.self.Leaving {
-		s.Members = append(s.Members, memberOf(r.self))
-	}
-	for _, m := range r.members {
-		if now.Sub(m.heard) <= knownTime {
-			s.size++
-		}
-		if m.alive && !m.report.Leaving {
-			s.Members = append(s.Members, memberOf(m.report))
-		}
-	}
-	slices.SortFunc(s.Members, func(a, b Member) int { return a.Address.Compare(b.Address) })
-	return s
-}
-
-func memberOf(r Report) Member {
-	return Member{Address: r.Address, Zone: r.Zone, Serving: r.Serving, Revision: r.Revision}
-}
-
-// Snapshot is who lives, at one moment. It is immutable.
-type Snapshot struct {
-	Self netip.AddrPort
-	// Members are the VMs that live and do not end, this one among them.
-	Members []Member
-	size    int
-}
-
-// Size returns how many VMs share common limits.
-func (s *Snapshot) Size() int { return s.size }
-
-// InCharge says whether this VM is the one among those alive that looks after
-// the thing of that name: all that see the same VMs agree on one.
-func (s *Snapshot) InCharge(name string) bool {
-	var best netip.AddrPort
-	var most uint64
-	for _, m := range s.Members {
-		if w := xxhash.Sum64String(name + " " + m.Address.String()); w >= most {
-			best, most = m.Address, w
-		}
-	}
-	return best == s.Self
-}
-
-// Near returns the members that serve callers in the zone: those in the zone,
-// else those of its region, else all. regionOf gives the region of a zone.
-func (s *Snapshot) Near(zone, region string, regionOf func(zone string) string) []Member {
-	var inZone, inRegion, all []Member
-	for _, m := range s.Members {
-		if !m.Serving {
-			continue
-		}
-		all = append(all, m)
-		if m.Zone == zone {
-			inZone = append(inZone, m)
-		}
-		if regionOf(m.Zone) == region {
-			inRegion = append(inRegion, m)
-		}
-	}
-	switch {
-	case len(inZone) > 0:
-		return inZone
-	case len(inRegion) > 0:
-		return inRegion
-	}
-	return all
-}
--- /dev/null
+++ b/shuntmember/snapshot.go
@@ -0,0 +1,191 @@
+package shuntmember
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// entriesLeast is how many VMs of a region callers are sent to at least, so
+	// that the loss of one leaves another.
+	entriesLeast = 2
+	// readersLeast is how many VMs of a region read the platform.
+	readersLeast = 2
+	// attemptsPerCore is how many attempts a second one core is given to carry;
+	// a core bears about twice as many.
+	attemptsPerCore = 2000
+	// entryShare is the part of common limits that the entries have; the other
+	// VMs, which few callers reach, divide the rest.
+	entryShare = 0.8
+	// sizeFloor is among how many entries a process divides at least while it
+	// has just started and may not have heard of all.
+	sizeFloor = 6
+	// settleTime is how long a process holds itself for just started.
+	settleTime = 3 * time.Second
+)
+
+// Snapshot is who lives, at one moment. It is immutable.
+type Snapshot struct {
+	self netip.AddrPort
+	// regions holds the VMs of each region that live and do not end, the first
+	// choice for callers first.
+	regions map[string][]Report
+	entries map[netip.AddrPort]bool
+	known   int
+	share   float64
+	reads   bool
+}
+
+// Snapshot returns the immutable view that traffic goes by.
+func (r *Roster) Snapshot(now time.Time, settled bool) *Snapshot {
+	s := &Snapshot{self: r.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}, known: 1}
+	if !r.self.Leaving {
+		s.add(r.regionOf(r.self.Zone), r.self)
+	}
+	for _, m := range r.members {
+		if now.Sub(m.heard) <= knownTime {
+			s.known++
+		}
+		if m.alive && !m.report.Leaving {
+			s.add(r.regionOf(m.report.Zone), m.report)
+		}
+	}
+	for _, reports := range s.regions {
+		slices.SortFunc(reports, func(a, b Report) int {
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(weight(a.Address, ""), weight(b.Address, "")))
+		})
+		for _, e := range entriesOf(reports) {
+			s.entries[e.Address] = true
+		}
+	}
+	s.share = s.shareOf(settled)
+	s.reads = s.mustRead(r.regionOf(r.self.Zone))
+	return s
+}
+
+func (s *Snapshot) add(region string, m Report) {
+	s.regions[region] = append(s.regions[region], m)
+}
+
+// entriesOf returns the VMs that callers of a region are sent to: as few as
+// carry its load, since each then sees more of every backend server, and all
+// together hold fewer connections. reports are sorted by choice.
+func entriesOf(reports []Report) []Report {
+	load := 0.0
+	for _, r := range reports {
+		load += float64(r.Load)
+	}
+	var out []Report
+	carried := 0.0
+	for _, r := range reports {
+		if len(out) >= entriesLeast && carried >= load {
+			break
+		}
+		if r.Serving {
+			out = append(out, r)
+			carried += float64(r.Capacity) / 1000 * attemptsPerCore
+		}
+	}
+	return out
+}
+
+// shareOf returns the part of common limits that this VM may use. The sum over
+// all VMs stays below 1 where they see the same VMs.
+func (s *Snapshot) shareOf(settled bool) float64 {
+	entries := max(1, len(s.entries))
+	others := max(1, s.known-entries)
+	if !settled {
+		entries = max(entries, sizeFloor)
+	}
+	if s.known == entries && settled {
+		return 1 / float64(entries)
+	}
+	if s.entries[s.self] || len(s.entries) == 0 {
+		return entryShare / float64(entries)
+	}
+	return (1 - entryShare) / float64(others)
+}
+
+// mustRead says whether this VM is one of those that read the platform: it is
+// unless enough VMs of its region before it do.
+func (s *Snapshot) mustRead(region string) bool {
+	readers := 0
+	for _, m := range s.regions[region] {
+		if m.Address == s.self {
+			return true
+		}
+		if m.Reading {
+			readers++
+		}
+		if readers >= readersLeast {
+			return false
+		}
+	}
+	return true
+}
+
+// Reads says whether this VM is to read the platform itself.
+func (s *Snapshot) Reads() bool { return s.reads }
+
+// Share returns the part of limits common to all VMs that this VM may use, from
+// 0 to 1.
+func (s *Snapshot) Share() float64 { return s.share }
+
+// InCharge says whether this VM is the one among the entries that looks after
+// the thing of that name: all that see the same VMs agree on one.
+func (s *Snapshot) InCharge(name string) bool {
+	if len(s.entries) == 0 {
+		return true
+	}
+	var best netip.AddrPort
+	var most uint64
+	for a := range s.entries {
+		if w := weight(a, name); w >= most {
+			best, most = a, w
+		}
+	}
+	return best == s.self
+}
+
+func weight(a netip.AddrPort, name string) uint64 { return xxhash.Sum64String(name + " " + a.String()) }
+
+// Entries returns the VMs that callers in the region are sent to: those of the
+// region, else those of all regions. It may be empty.
+func (s *Snapshot) Entries(region string) []netip.AddrPort {
+	if near := s.addresses(region); len(near) > 0 {
+		return near
+	}
+	var all []netip.AddrPort
+	for r := range s.regions {
+		all = append(all, s.addresses(r)...)
+	}
+	return all
+}
+
+func (s *Snapshot) addresses(region string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range s.regions[region] {
+		if s.entries[m.Address] {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+// Ahead returns the VM that has followed what is published furthest beyond the
+// revision, or false.
+func (s *Snapshot) Ahead(revision int64) (netip.AddrPort, bool) {
+	var best netip.AddrPort
+	for _, reports := range s.regions {
+		for _, m := range reports {
+			if m.Address != s.self && m.Revision > revision {
+				best, revision = m.Address, m.Revision
+			}
+		}
+	}
+	return best, best.IsValid()
+}
--- a/shuntmember/state.go
+++ b/shuntmember/state.go
@@ -22,49 +22,55 @@
 	serveTimeout = 2 * time.Second
 )
 
-// StateArgs asks for a state newer than After.
+// StateArgs asks for what changed after a revision.
 type StateArgs struct{ After int64 }
 
-// StateReply is the state; Revision is 0 where there is none newer.
+// StateReply is what changed; Revision is 0 where nothing did. Whole says that
+// it is everything, and that what it does not hold is gone.
 type StateReply struct {
 	Revision  int64
+	Whole     bool
 	Keys      []string
 	Revisions []int64
 	Values    [][]byte
+	Removed   []bool
 }
 
 // stateServer answers other VMs.
-type stateServer struct{ state func() shuntcatalog.State }
+type stateServer struct {
+	since func(revision int64) shuntcatalog.Delta
+}
 
 // Fetch is called by net/rpc.
 func (s *stateServer) Fetch(args StateArgs, reply *StateReply) error {
-	state := s.state()
-	if state.Revision <= args.After {
+	d := s.since(args.After)
+	if d.Revision <= args.After {
 		return nil
 	}
-	reply.Revision = state.Revision
-	for _, r := range state.Records {
+	reply.Revision, reply.Whole = d.Revision, d.Whole
+	for _, r := range d.Records {
 		reply.Keys = append(reply.Keys, r.Key)
 		reply.Revisions = append(reply.Revisions, r.Revision)
 		reply.Values = append(reply.Values, r.Value)
+		reply.Removed = append(reply.Removed, r.Removed)
 	}
 	return nil
 }
 
-func (r StateReply) state() (shuntcatalog.State, error) {
-	if len(r.Keys) != len(r.Revisions) || len(r.Keys) != len(r.Values) {
-		return shuntcatalog.State{}, errors.New("the state's lists differ in length")
+func (r StateReply) delta() (shuntcatalog.Delta, error) {
+	if len(r.Keys) != len(r.Revisions) || len(r.Keys) != len(r.Values) || len(r.Keys) != len(r.Removed) {
+		return shuntcatalog.Delta{}, errors.New("the state's lists differ in length")
 	}
-	s := shuntcatalog.State{Revision: r.Revision, Records: make([]shuntcatalog.Record, len(r.Keys))}
+	d := shuntcatalog.Delta{Whole: r.Whole, State: shuntcatalog.State{Revision: r.Revision, Records: make([]shuntcatalog.Record, len(r.Keys))}}
 	for i, key := range r.Keys {
-		s.Records[i] = shuntcatalog.Record{Key: key, Revision: r.Revisions[i], Value: r.Values[i]}
+		d.Records[i] = shuntcatalog.Record{Key: key, Revision: r.Revisions[i], Value: r.Values[i], Removed: r.Removed[i]}
 	}
-	return s, nil
+	return d, nil
 }
 
 func (n *Node) serveState(ctx context.Context) {
 	server := rpc.NewServer()
-	if err := server.RegisterName(stateService, &stateServer{n.config.State}); err != nil {
+	if err := server.RegisterName(stateService, &stateServer{n.config.Since}); err != nil {
 		panic(err)
 	}
 	for {
@@ -85,32 +91,29 @@
 
 // Newer implements shuntcatalog.Peers. It asks the VM that reports the newest
 // revision.
-func (n *Node) Newer(ctx context.Context, revision int64) (shuntcatalog.State, bool) {
-	var best Member
-	s := n.Snapshot()
-	for _, m := range s.Members {
-		if m.Address != s.Self && m.Revision > max(revision, best.Revision) {
-			best = m
-		}
+func (n *Node) Newer(ctx context.Context, revision int64) (shuntcatalog.Delta, bool) {
+	vm, ok := n.Snapshot().Ahead(revision)
+	if !ok {
+		return shuntcatalog.Delta{}, false
 	}
-	if best.Revision == 0 {
-		return shuntcatalog.State{}, false
-	}
-	state, err := fetchState(ctx, best.Address, revision)
+	d, err := fetchState(ctx, vm, revision)
 	if err != nil {
-		klog.InfoS("State not fetched from another VM", "vm", best.Address, "reason", err.Error())
-		return shuntcatalog.State{}, false
+		klog.InfoS("State not fetched from another VM", "vm", vm, "reason", err.Error())
+		return shuntcatalog.Delta{}, false
 	}
-	return state, state.Revision > revision
+	return d, d.Revision > revision
 }
 
-func fetchState(ctx context.Context, from netip.AddrPort, after int64) (shuntcatalog.State, error) {
+// Reads implements shuntcatalog.Peers.
+func (n *Node) Reads() bool { return n.Snapshot().Reads() }
+
+func fetchState(ctx context.Context, from netip.AddrPort, after int64) (shuntcatalog.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp4", from.String())
 	if err != nil {
-		return shuntcatalog.State{}, errors.Trace(err)
+		return shuntcatalog.Delta{}, errors.Trace(err)
 	}
 	client := rpc.NewClient(c)
 	defer func() { _ = client.Close() }()
@@ -118,7 +121,7 @@
 	_ = c.SetDeadline(deadline)
 	var reply StateReply
 	if err := client.Call(stateMethod, StateArgs{after}, &reply); err != nil {
-		return shuntcatalog.State{}, errors.Trace(err)
+		return shuntcatalog.Delta{}, errors.Trace(err)
 	}
-	return reply.state()
+	return reply.delta()
 }
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -30,6 +30,8 @@
 	Region string
 	// Peer is this VM's address for other VMs, datagrams and connections.
 	Peer netip.AddrPort
+	// Capacity is what this VM can carry, in thousandths of a core.
+	Capacity uint32
 	// Regions gives the region of each availability zone.
 	Regions map[string]string
 	// RetryRatio, RetrySlack and RetryWindow bound extra attempts at a service,
@@ -63,7 +65,9 @@
 
 // Router forwards callers' requests.
 type Router struct {
-	config   Config
+	config Config
+	// ctx ends with the router.
+	ctx      context.Context
 	follower *shuntcatalog.Follower
 	node     *shuntmember.Node
 	pool     *shuntupstream.Pool
@@ -88,17 +92,19 @@
 		metrics: newFrontMetrics(c.Metrics),
 	}
 	r.node = shuntmember.NewNode(shuntmember.Config{
-		Address: s.Peer, Zone: s.Zone, Seeds: c.Seeds, Group: c.Group, Random: r.random,
-		State: func() shuntcatalog.State { return r.follower.State() },
+		Address: s.Peer, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
+		RegionOf: func(zone string) string { return s.Regions[zone] },
+		Since:    func(revision int64) shuntcatalog.Delta { return r.follower.Since(r.ctx, revision) },
 	})
 	r.follower = shuntcatalog.NewFollower(shuntcatalog.FollowerConfig{
 		Catalog: shuntcatalog.New(shuntcatalog.Config{Decoder: c.Decoder, LapseGrace: s.LapseGrace}),
 		Source:  c.Source, Peers: r.node, Group: c.Group, Random: r.random, WatchWait: s.WatchWait, OnView: r.viewChanged,
+		OnReads: func(reads bool) { r.node.Update(func(m *shuntmember.Roster) { m.SetReading(reads) }) },
 	})
 	r.caller = shuntcall.New(shuntcall.Config{
 		Pool: r.pool, Board: r.board, Cold: r.cold, Fleet: r.node, Group: c.Group, View: r.follower.View, Headers: c.Headers.Upstream,
 		Budget: shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{
-			Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, VMs: r.node.Size,
+			Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Share: r.node.Share,
 		}),
 		ColdBurst: func(v shuntroute.Service) float64 { return v.ColdRate*s.ColdFactor + s.ColdSlack },
 		Metrics:   shuntcall.NewMetrics(c.Metrics),
@@ -108,6 +114,7 @@
 
 // Start joins the fleet and follows the platform until ctx ends.
 func (r *Router) Start(ctx context.Context) error {
+	r.ctx = ctx
 	if err := r.node.Start(ctx); err != nil {
 		return errors.Trace(err)
 	}
@@ -127,9 +134,13 @@
 func (r *Router) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
-	for {
+	for before := uint64(0); ; {
 		select {
 		case now := <-t.C:
+			total := r.caller.Attempts()
+			load := uint32(float64(total-before) / sweepInterval.Seconds())
+			before = total
+			r.node.Update(func(m *shuntmember.Roster) { m.SetLoad(load) })
 			r.pool.Sweep(now)
 			r.board.Prune(now)
 			r.cold.Prune(now)
@@ -148,18 +159,14 @@
 	r.node.Update(func(m *shuntmember.Roster) { m.SetLeaving() })
 }
 
-// Entries returns the VMs that callers in the zone are to connect to for the
-// host.
-func (r *Router) Entries(host, zone, region string) []netip.Addr {
-	regionOf := func(z string) string { return r.config.Settings.Regions[z] }
-	s := r.node.Snapshot()
-	near := s.Near(zone, region, regionOf)
-	out := make([]netip.Addr, 0, len(near))
-	for _, m := range near {
-		out = append(out, m.Address.Addr())
+// Entries returns the VMs that callers in the region are to connect to.
+func (r *Router) Entries(region string) []netip.Addr {
+	var out []netip.Addr
+	for _, a := range r.node.Snapshot().Entries(region) {
+		out = append(out, a.Addr())
 	}
 	if len(out) == 0 && !r.leaving.Load() {
-		out = append(out, s.Self.Addr())
+		out = append(out, r.config.Settings.Peer.Addr())
 	}
 	return out
 }
