Keep heartbeats in the zone, open connections ahead, put entries near the servers

Cause: at 62 VMs each sent 1.4 KB to five random VMs 2.5 times a second: most of the bytes between regions. The first requests on a VM waited for connections to each shard.

--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -23,7 +23,7 @@
 	retryDelay = 300 * time.Millisecond
 	// watchPause is the least time between watches, so that a burst of changes
 	// costs few calls.
-	watchPause = 200 * time.Millisecond
+	watchPause = 400 * time.Millisecond
 	// peerInterval is how often a VM looks whether another one knows more.
 	peerInterval = 100 * time.Millisecond
 	// expireInterval is how often lapsed servers are looked at.
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +20,15 @@
 const (
 	// beatInterval is between datagrams of a VM.
 	beatInterval = 400 * time.Millisecond
-	// fanout is how many live VMs get each datagram.
-	fanout = 5
-	// searchEvery is after how many beats silent VMs and seeds are tried too.
-	searchEvery = 2
+	// zoneFanout is how many live VMs of its zone get each datagram of a VM.
+	zoneFanout = 2
+	// farEvery is after how many beats the first VMs of a region also tell one
+	// VM of its other zones and one of each other region.
+	farEvery = 2
+	// searchEvery is after how many beats each VM also tries a silent VM or a
+	// seed, and one anywhere; with few VMs known it does so with farEvery.
+	searchEvery = 8
+	fewKnown    = 3
 	// mostReports bounds the reports of one datagram.
 	mostReports = 60
 	// readBuffer holds one datagram.
@@ -118,13 +125,13 @@
 			u(r)
 			if n.urgent(before, r.Self()) {
 				r.Beat()
-				n.send(r, true)
+				n.send(r, beats, true)
 			}
 		case now := <-t.C:
 			beats++
 			r.Beat()
 			r.Expire(now)
-			n.send(r, beats%searchEvery == 0)
+			n.send(r, beats, false)
 		case <-ctx.Done():
 			return
 		}
@@ -139,20 +146,11 @@
 	return after.Leaving != before.Leaving || after.Serving != before.Serving || after.Reading != before.Reading || after.Revision > before.Revision
 }
 
-func (n *Node) send(r *Roster, search bool) {
-	alive, silent := r.Addresses()
-	n.shuffle(alive)
-	to := alive[:min(len(alive), fanout)]
-	if search || len(alive) == 0 {
-		if seeds := n.config.Seeds(); len(seeds) > 0 {
-			to = append(to, seeds[n.config.Random.Below(len(seeds))])
-		}
-		if len(silent) > 0 {
-			to = append(to, silent[n.config.Random.Below(len(silent))])
-		}
-	}
-	b := encodeReports(r.Reports(mostReports))
-	for _, a := range to {
+// send tells some VMs what this one has heard. Most datagrams stay in the zone:
+// bytes between regions are dear.
+func (n *Node) send(r *Roster, beats int, urgent bool) {
+	b := encodeReports(r.Reports(n.Snapshot().firsts(), mostReports))
+	for _, a := range n.targets(r, beats, urgent) {
 		if a == n.config.Address {
 			continue
 		}
@@ -162,11 +160,33 @@
 	}
 }
 
-func (n *Node) shuffle(a []netip.AddrPort) {
-	for i := len(a) - 1; i > 0; i-- {
-		j := n.config.Random.Below(i + 1)
-		a[i], a[j] = a[j], a[i]
+func (n *Node) targets(r *Roster, beats int, urgent bool) []netip.AddrPort {
+	zone, region, others := r.Alive()
+	to := n.some(zone, zoneFanout)
+	far := urgent || beats%farEvery == 0
+	if far && n.Snapshot().delegate(n.config.RegionOf(n.config.Zone)) {
+		to = append(to, n.some(region, 1)...)
+		for _, name := range slices.Sorted(maps.Keys(others)) {
+			to = append(to, n.some(others[name], 1)...)
+		}
+	}
+	few := len(zone)+len(region)+len(others) < fewKnown
+	if beats%searchEvery == 0 || (few && far) {
+		to = append(to, n.some(r.Silent(), 1)...)
+		to = append(to, n.some(n.config.Seeds(), 1)...)
+		to = append(to, n.some(region, 1)...)
+	}
+	return to
+}
+
+// some returns up to count of the addresses, at random.
+func (n *Node) some(from []netip.AddrPort, count int) []netip.AddrPort {
+	from = slices.Clone(from)
+	for i := range min(count, len(from)) {
+		j := i + n.config.Random.Below(len(from)-i)
+		from[i], from[j] = from[j], from[i]
 	}
+	return from[:min(count, len(from))]
 }
 
 func (n *Node) receive(ctx context.Context) {
--- a/shuntmember/roster.go
+++ b/shuntmember/roster.go
@@ -54,6 +54,8 @@
 	self     Report
 	regionOf func(zone string) string
 	members  map[netip.AddrPort]*member
+	// servers counts the backend servers of each zone.
+	servers map[string]int
 }
 
 // NewRoster returns a roster that knows this VM alone; self.Start is the time of
@@ -74,6 +76,9 @@
 // SetLoad says how many attempts at backend servers a second this VM makes.
 func (r *Roster) SetLoad(load uint32) { r.self.Load = load }
 
+// SetServers says how many backend servers each zone holds.
+func (r *Roster) SetServers(byZone map[string]int) { r.servers = byZone }
+
 // SetReading says whether the platform answers this VM.
 func (r *Roster) SetReading(reading bool) { r.self.Reading = reading }
 
@@ -122,29 +127,73 @@
 	}
 }
 
-// Reports returns this VM's own report and those of up to most others that are
-// alive, in random order.
-func (r *Roster) Reports(most int) []Report {
+// Reports returns this VM's own report, those of the first VMs of each region,
+// whom all must know well, and some others that are alive, up to most.
+func (r *Roster) Reports(first []netip.AddrPort, most int) []Report {
 	out := []Report{r.self}
-	for _, m := range r.members {
-		if len(out) > most {
-			break
-		}
-		if m.alive {
+	told := map[netip.AddrPort]bool{r.self.Address: true}
+	add := func(a netip.AddrPort) {
+		if m := r.members[a]; m != nil && m.alive && !told[a] && len(out) < most {
+			told[a] = true
 			out = append(out, m.report)
 		}
 	}
+	for _, a := range first {
+		add(a)
+	}
+	for a := range r.members {
+		add(a)
+	}
 	return out
 }
 
-// Addresses returns the VMs that are alive and those that have fallen silent.
-func (r *Roster) Addresses() (alive, silent []netip.AddrPort) {
+// place is where another VM stands, seen from this one.
+type place int
+
+const (
+	sameZone place = iota
+	sameRegion
+	otherRegion
+)
+
+// Alive returns the VMs that are alive by where they stand. Those of other
+// regions are grouped by region.
+func (r *Roster) Alive() (zone, region []netip.AddrPort, others map[string][]netip.AddrPort) {
+	others = map[string][]netip.AddrPort{}
 	for a, m := range r.members {
-		if m.alive {
-			alive = append(alive, a)
-		} else {
-			silent = append(silent, a)
+		if !m.alive {
+			continue
+		}
+		switch r.place(m.report.Zone) {
+		case sameZone:
+			zone = append(zone, a)
+		case sameRegion:
+			region = append(region, a)
+		default:
+			name := r.regionOf(m.report.Zone)
+			others[name] = append(others[name], a)
 		}
 	}
-	return alive, silent
+	return zone, region, others
+}
+
+func (r *Roster) place(zone string) place {
+	switch {
+	case zone == r.self.Zone:
+		return sameZone
+	case r.regionOf(zone) == r.regionOf(r.self.Zone):
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// Silent returns the VMs that have fallen silent.
+func (r *Roster) Silent() []netip.AddrPort {
+	var out []netip.AddrPort
+	for a, m := range r.members {
+		if !m.alive {
+			out = append(out, a)
+		}
+	}
+	return out
 }
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -32,7 +32,8 @@
 type Snapshot struct {
 	self netip.AddrPort
 	// regions holds the VMs of each region that live and do not end, the first
-	// choice for callers first.
+	// choice for callers first: large ones before small ones, and those in a
+	// zone with many backend servers before others.
 	regions map[string][]Report
 	entries map[netip.AddrPort]bool
 	known   int
@@ -56,7 +57,7 @@
 	}
 	for _, reports := range s.regions {
 		slices.SortFunc(reports, func(a, b Report) int {
-			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(weight(a.Address, ""), weight(b.Address, "")))
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(r.servers[b.Zone], r.servers[a.Zone]), cmp.Compare(weight(a.Address, ""), weight(b.Address, "")))
 		})
 		for _, e := range entriesOf(reports) {
 			s.entries[e.Address] = true
@@ -128,6 +129,33 @@
 	return true
 }
 
+// firstsPerRegion is how many VMs of a region all others are kept well informed
+// of: the entries and those that follow them.
+const firstsPerRegion = 2 * entriesLeast
+
+// firsts returns the first VMs of each region.
+func (s *Snapshot) firsts() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, reports := range s.regions {
+		for _, m := range reports[:min(len(reports), firstsPerRegion)] {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+// delegate says whether this VM is one of those that carry news to other
+// regions.
+func (s *Snapshot) delegate(region string) bool {
+	reports := s.regions[region]
+	for _, m := range reports[:min(len(reports), entriesLeast)] {
+		if m.Address == s.self {
+			return true
+		}
+	}
+	return false
+}
+
 // Reads says whether this VM is to read the platform itself.
 func (s *Snapshot) Reads() bool { return s.reads }
 
@@ -135,6 +163,9 @@
 // 0 to 1.
 func (s *Snapshot) Share() float64 { return s.share }
 
+// Entry says whether callers are sent to this VM.
+func (s *Snapshot) Entry() bool { return s.entries[s.self] }
+
 // InCharge says whether this VM is the one among the entries that looks after
 // the thing of that name: all that see the same VMs agree on one.
 func (s *Snapshot) InCharge(name string) bool {
@@ -176,16 +207,27 @@
 	return out
 }
 
-// Ahead returns the VM that has followed what is published furthest beyond the
+// Ahead returns the nearest VM that has followed what is published beyond the
 // revision, or false.
-func (s *Snapshot) Ahead(revision int64) (netip.AddrPort, bool) {
-	var best netip.AddrPort
-	for _, reports := range s.regions {
+func (s *Snapshot) Ahead(revision int64, zone, region string) (netip.AddrPort, bool) {
+	var best Report
+	nearness := -1
+	for name, reports := range s.regions {
 		for _, m := range reports {
-			if m.Address != s.self && m.Revision > revision {
-				best, revision = m.Address, m.Revision
+			if m.Address == s.self || m.Revision <= revision {
+				continue
+			}
+			near := 0
+			if name == region {
+				near++
+			}
+			if m.Zone == zone {
+				near++
+			}
+			if near > nearness || (near == nearness && m.Revision > best.Revision) {
+				best, nearness = m, near
 			}
 		}
 	}
-	return best, best.IsValid()
+	return best.Address, nearness >= 0
 }
--- a/shuntmember/state.go
+++ b/shuntmember/state.go
@@ -92,7 +92,7 @@
 // Newer implements shuntcatalog.Peers. It asks the VM that reports the newest
 // revision.
 func (n *Node) Newer(ctx context.Context, revision int64) (shuntcatalog.Delta, bool) {
-	vm, ok := n.Snapshot().Ahead(revision)
+	vm, ok := n.Snapshot().Ahead(revision, n.config.Zone, n.config.RegionOf(n.config.Zone))
 	if !ok {
 		return shuntcatalog.Delta{}, false
 	}
--- a/shuntroute/server.go
+++ b/shuntroute/server.go
@@ -1,6 +1,9 @@
 package shuntroute
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Server is what is published of one backend server.
 type Server struct {
@@ -55,6 +58,28 @@
 	return v
 }
 
+// All returns the servers of all services that may get requests.
+func (v *View) All() iter.Seq[Server] {
+	return func(yield func(Server) bool) {
+		for _, servers := range v.servers {
+			for _, s := range servers {
+				if !yield(s) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// CountByZone returns the number of servers in each availability zone.
+func (v *View) CountByZone() map[string]int {
+	out := map[string]int{}
+	for s := range v.All() {
+		out[s.Zone]++
+	}
+	return out
+}
+
 // Servers returns the backend servers of the service that may get requests.
 // The slice must not be changed.
 func (v *View) Servers(service string) []Server { return v.servers[service] }
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -120,14 +120,17 @@
 	}
 	r.follower.Start(ctx)
 	r.config.Group.Go(func() { r.sweep(ctx) })
+	r.config.Group.Go(func() { r.warm(ctx) })
 	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.Peer)
 	return nil
 }
 
 func (r *Router) viewChanged(v *shuntroute.View) {
+	byZone := v.CountByZone()
 	r.node.Update(func(m *shuntmember.Roster) {
 		m.SetRevision(v.Revision)
 		m.SetServing(v.Table != nil)
+		m.SetServers(byZone)
 	})
 }
 
@@ -150,6 +153,33 @@
 	}
 }
 
+// warm keeps a connection to each warm server while callers are sent to this
+// VM: it answers load that sets in at once, on a VM that has just become an
+// entry or on an index that was just divided anew. One connection is opened at
+// a time, since each holds a slot of the server for a moment.
+func (r *Router) warm(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		if !r.node.Snapshot().Entry() {
+			continue
+		}
+		for s := range r.follower.View().All() {
+			if s.Cold(time.Now()) || !s.LapsedAt.IsZero() || r.board.Down(s) {
+				continue
+			}
+			if err := r.pool.Warm(ctx, shuntupstream.Server{ID: s.ID, Address: s.Address}); err != nil {
+				klog.V(1).InfoS("Connection not opened ahead", "server", s.ID, "reason", err.Error())
+			}
+		}
+	}
+}
+
 // Ready says whether callers are to be sent to this VM.
 func (r *Router) Ready() bool { return !r.leaving.Load() && r.follower.View().Table != nil }
 
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -16,7 +16,7 @@
 	connectTimeout = 400 * time.Millisecond
 	// defaultIdle is how long an idle connection is kept where the server does
 	// not say.
-	defaultIdle = 4 * time.Second
+	defaultIdle = 10 * time.Second
 	// idleMargin is the part of the server's idle timeout after which a
 	// connection is not used again.
 	idleMargin = 0.7
@@ -191,6 +191,30 @@
 	closeAll(stale)
 }
 
+// Warm opens a connection to the server if there is none, so that the first
+// requests do not wait for one.
+func (p *Pool) Warm(ctx context.Context, s Server) error {
+	key := s.ID + " " + s.Address
+	p.mu.Lock()
+	h := p.hosts[key]
+	if h == nil {
+		h = &host{}
+		p.hosts[key] = h
+	}
+	if h.open > 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	h.open++
+	p.opens++
+	p.mu.Unlock()
+	c, _, err := p.dial(ctx, s, h)
+	if err == nil {
+		p.release(s, c)
+	}
+	return err
+}
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 {
 	p.mu.Lock()
