Keep requests that crash servers away from them on the platform too

A broken connection alone proves nothing; the server is tried at once, and only one that can't be reached counts as dead.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -10,6 +10,7 @@
 
 	"mulberryshunt.example/mulberryshunt/shuntbalance"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
@@ -49,6 +50,9 @@
 	ColdBurst func(shuntroute.Service) float64
 	Headers   shuntupstream.Headers
 	Metrics   *Metrics
+	// Guard and Witness keep requests that crash servers away from them.
+	Guard   *shuntguard.Guard
+	Witness *shuntguard.Witness
 }
 
 // Caller sends requests to the servers of services.
@@ -70,6 +74,9 @@
 	Request shuntupstream.Request
 	// HedgeAfter is after how long a second server is tried; 0 means never.
 	HedgeAfter time.Duration
+	// Fingerprint identifies the content. Single allows one server only.
+	Fingerprint uint64
+	Single      bool
 }
 
 // End is how a call ended.
@@ -209,6 +216,9 @@
 
 // mayLaunch says whether one more attempt keeps the request's limits.
 func (r *call) mayLaunch() bool {
+	if r.call.Single && r.open+r.mayRun > 0 {
+		return false
+	}
 	if r.asked >= maxArrivals || r.open+r.mayRun >= r.call.Route.MaxAttempts {
 		return false
 	}
@@ -301,6 +311,7 @@
 	share := max(1, int(float64(in.Service.MaxConns)*(1-connReserve)*c.config.Fleet.Share()))
 	o := c.config.Pool.Do(ctx, shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: share}, in.Route.Idempotent, in.Request)
 	c.config.Board.End(s, a, boardResult(o))
+	c.witness(in, s, o)
 	c.config.Metrics.attempt(o, time.Since(started))
 	return attemptEnd{server: s, outcome: o, started: started}
 }
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -25,6 +25,9 @@
 	Request shuntupstream.Request
 	// Start is when the request came.
 	Start time.Time
+	// Fingerprint identifies the content; servers may have died under a Suspect.
+	Fingerprint uint64
+	Suspect     bool
 }
 
 // Part is one shard's answer.
@@ -85,10 +88,12 @@
 		return Result{End: Refused, Reason: "no such service"}
 	}
 	return c.Do(ctx, Call{
-		Route:      q.Route,
-		Service:    s,
-		Request:    q.Request,
-		HedgeAfter: time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.Goal)))),
+		Route:       q.Route,
+		Service:     s,
+		Request:     q.Request,
+		Fingerprint: q.Fingerprint,
+		Single:      q.Suspect,
+		HedgeAfter:  time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.Goal)))),
 	})
 }
 
--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -173,6 +173,14 @@
 	return Verdict{Suspect: true, Canary: true}
 }
 
+// Suspect says whether servers have died under the content.
+func (g *Guard) Suspect(fingerprint uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.suspects[fingerprint]
+	return ok && !s.over(time.Now())
+}
+
 // Release ends the run of a suspect.
 func (g *Guard) Release(fingerprint uint64) {
 	g.mu.Lock()
--- a/shuntmember/codec.go
+++ b/shuntmember/codec.go
@@ -2,9 +2,13 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 )
 
 const (
@@ -18,9 +22,13 @@
 
 var errDatagram = errors.New("the datagram can't be read")
 
-// encodeReports writes as many reports as fit into one datagram.
-func encodeReports(reports []Report) []byte {
-	b := []byte{datagramVersion}
+// encodeDatagram writes the suspicions and as many reports as fit into one
+// datagram.
+func encodeDatagram(suspicions []shuntguard.Suspicion, reports []Report) []byte {
+	b := []byte{datagramVersion, byte(len(suspicions))}
+	for _, s := range suspicions {
+		b = appendSuspicion(b, s)
+	}
 	for _, r := range reports {
 		e := encodeReport(r)
 		if len(b)+len(e) > maxDatagram {
@@ -31,6 +39,90 @@
 	return b
 }
 
+func appendSuspicion(b []byte, s shuntguard.Suspicion) []byte {
+	b = binary.BigEndian.AppendUint64(b, s.Fingerprint)
+	b = binary.AppendUvarint(b, uint64(s.Strikes))
+	b = binary.AppendUvarint(b, uint64(s.Age.Milliseconds()))
+	b = binary.AppendUvarint(b, uint64(len(s.Servers)))
+	for _, v := range s.Servers {
+		b = appendText(b, v)
+	}
+	return b
+}
+
+func appendText(b []byte, s string) []byte {
+	s = s[:min(len(s), math.MaxUint8)]
+	return append(append(b, byte(len(s))), s...)
+}
+
+// reader reads a datagram; after the first error it returns zeros.
+type reader struct {
+	rest []byte
+	err  error
+}
+
+func (r *reader) bytes(n int) []byte {
+	if r.err != nil || n < 0 || len(r.rest) < n {
+		r.err = errDatagram
+		return make([]byte, max(0, min(n, maxDatagram)))
+	}
+	b := r.rest[:n]
+	r.rest = r.rest[n:]
+	return b
+}
+
+func (r *reader) number() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if r.err != nil || n <= 0 {
+		r.err = errDatagram
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *reader) text() string { return string(r.bytes(int(r.bytes(1)[0]))) }
+
+// decodeDatagram reads a datagram.
+func decodeDatagram(b []byte) ([]shuntguard.Suspicion, []Report, error) {
+	r := &reader{rest: b}
+	if r.bytes(1)[0] != datagramVersion {
+		return nil, nil, errDatagram
+	}
+	var suspicions []shuntguard.Suspicion
+	for range r.bytes(1)[0] {
+		suspicions = append(suspicions, r.suspicion())
+	}
+	var reports []Report
+	for r.err == nil && len(r.rest) > 0 {
+		reports = append(reports, r.report())
+	}
+	return suspicions, reports, r.err
+}
+
+func (r *reader) suspicion() shuntguard.Suspicion {
+	s := shuntguard.Suspicion{
+		Fingerprint: binary.BigEndian.Uint64(r.bytes(8)),
+		Strikes:     int(r.number()),
+		Age:         time.Duration(r.number()) * time.Millisecond,
+	}
+	for n := r.number(); n > 0 && r.err == nil; n-- {
+		s.Servers = append(s.Servers, r.text())
+	}
+	return s
+}
+
+func (r *reader) report() Report {
+	ip := [4]byte(r.bytes(4))
+	out := Report{Address: netip.AddrPortFrom(netip.AddrFrom4(ip), binary.BigEndian.Uint16(r.bytes(2)))}
+	out.Start, out.Count, out.Revision = r.number(), r.number(), int64(r.number())
+	out.Capacity, out.Load = uint32(r.number()), uint32(r.number())
+	flags := r.bytes(1)[0]
+	out.Serving, out.Leaving, out.Reading = flags&flagServing != 0, flags&flagLeaving != 0, flags&flagReading != 0
+	out.Zone = r.text()
+	return out
+}
+
 func encodeReport(r Report) []byte {
 	ip := r.Address.Addr().As4()
 	b := append([]byte{}, ip[:]...)
@@ -50,48 +142,5 @@
 	if r.Reading {
 		flags |= flagReading
 	}
-	b = append(b, flags, byte(len(r.Zone)))
-	return append(b, r.Zone...)
-}
-
-// decodeReports reads a datagram.
-func decodeReports(b []byte) ([]Report, error) {
-	if len(b) == 0 || b[0] != datagramVersion {
-		return nil, errDatagram
-	}
-	b = b[1:]
-	var out []Report
-	for len(b) > 0 {
-		r, rest, err := decodeReport(b)
-		if err != nil {
-			return nil, err
-		}
-		out, b = append(out, r), rest
-	}
-	return out, nil
-}
-
-func decodeReport(b []byte) (Report, []byte, error) {
-	const addressBytes = 6
-	if len(b) < addressBytes {
-		return Report{}, nil, errDatagram
-	}
-	r := Report{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))}
-	b = b[addressBytes:]
-	var numbers [5]uint64
-	for i := range numbers {
-		v, n := binary.Uvarint(b)
-		if n <= 0 {
-			return Report{}, nil, errDatagram
-		}
-		numbers[i], b = v, b[n:]
-	}
-	if len(b) < 2 || len(b) < 2+int(b[1]) {
-		return Report{}, nil, errDatagram
-	}
-	r.Start, r.Count, r.Revision = numbers[0], numbers[1], int64(numbers[2])
-	r.Capacity, r.Load = uint32(numbers[3]), uint32(numbers[4])
-	r.Serving, r.Leaving, r.Reading = b[0]&flagServing != 0, b[0]&flagLeaving != 0, b[0]&flagReading != 0
-	r.Zone = string(b[2 : 2+int(b[1])])
-	return r, b[2+int(b[1]):], nil
+	return appendText(append(b, flags), r.Zone)
 }
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -14,6 +14,7 @@
 
 	"mulberryshunt.example/mulberryshunt/shuntcatalog"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
@@ -31,6 +32,8 @@
 	fewKnown    = 3
 	// mostReports bounds the reports of one datagram.
 	mostReports = 60
+	// mostSuspicions bounds the suspicions of one datagram.
+	mostSuspicions = 6
 	// readBuffer holds one datagram.
 	readBuffer = 64 << 10
 )
@@ -47,10 +50,18 @@
 	Seeds  func() []netip.AddrPort
 	Group  *shuntgroup.Group
 	Random *shuntrandom.Source
+	// Guard's suspicions travel with the reports.
+	Guard Suspicions
 	// Since returns what this VM knows to have changed after a revision.
 	Since func(revision int64) shuntcatalog.Delta
 }
 
+// Suspicions are the contents under which backend servers died.
+type Suspicions interface {
+	Export(most int) []shuntguard.Suspicion
+	Merge(in []shuntguard.Suspicion)
+}
+
 // Node takes part in the fleet.
 type Node struct {
 	config   Config
@@ -149,7 +160,7 @@
 // send tells some VMs what this one has heard. Most datagrams stay in the zone:
 // bytes between regions are dear.
 func (n *Node) send(r *Roster, beats int, urgent bool) {
-	b := encodeReports(r.Reports(n.Snapshot().firsts(), mostReports))
+	b := encodeDatagram(n.config.Guard.Export(mostSuspicions), r.Reports(n.Snapshot().firsts(), mostReports))
 	for _, a := range n.targets(r, beats, urgent) {
 		if a == n.config.Address {
 			continue
@@ -200,11 +211,12 @@
 			}
 			return
 		}
-		reports, err := decodeReports(b[:size])
+		suspicions, reports, err := decodeDatagram(b[:size])
 		if err != nil {
 			klog.InfoS("Datagram passed over", "from", from, "bytes", size, "reason", err.Error())
 			continue
 		}
+		n.config.Guard.Merge(suspicions)
 		select {
 		case n.updates <- func(r *Roster) { r.Hear(reports, time.Now()) }:
 		case <-ctx.Done():
--- a/shuntrouter/front.go
+++ b/shuntrouter/front.go
@@ -74,6 +74,9 @@
 	route    *shuntroute.Route
 	table    *shuntroute.Table
 	upstream shuntupstream.Request
+	// fingerprint identifies the content; servers may have died under a suspect.
+	fingerprint uint64
+	suspect     bool
 }
 
 // ServeHTTP answers callers.
@@ -102,6 +105,15 @@
 	q.upstream = shuntupstream.Request{
 		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: q.deadline,
 	}
+	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
+	q.fingerprint = shuntcall.Fingerprint(caller, q.upstream)
+	admission, release := r.caller.Admit(q.fingerprint)
+	defer release()
+	if admission.Refused != "" {
+		r.refuse(w, id, admission.Refused)
+		return
+	}
+	q.suspect = admission.Suspect
 	ctx, cancel := context.WithDeadline(in.Context(), q.deadline.Add(-replyMargin))
 	defer cancel()
 	if route.Scatters() {
@@ -169,7 +181,7 @@
 	if !ok {
 		service = shuntroute.Service{Name: name, MaxConns: 1}
 	}
-	res := r.caller.Forward(ctx, q.route, service, q.upstream)
+	res := r.caller.Forward(ctx, q.route, service, q.upstream, q.fingerprint, q.suspect)
 	code := r.reply(w, q, res)
 	r.logEnd(q, res.End, code, res.Attempts, 0, res.Server, res.Reason)
 }
@@ -199,7 +211,7 @@
 }
 
 func (r *Router) scatter(ctx context.Context, w http.ResponseWriter, q request) {
-	a := r.caller.Scatter(ctx, shuntcall.Query{Route: q.route, Table: q.table, Request: q.upstream, Start: q.start})
+	a := r.caller.Scatter(ctx, shuntcall.Query{Route: q.route, Table: q.table, Request: q.upstream, Start: q.start, Fingerprint: q.fingerprint, Suspect: q.suspect})
 	code := http.StatusOK
 	if a.End == shuntcall.Served {
 		r.replyParts(w, q, a)
@@ -267,6 +279,9 @@
 }
 
 func (r *Router) logEnd(q request, end shuntcall.End, code, attempts, missing int, server, reason string) {
+	if q.suspect && end == shuntcall.Served {
+		r.caller.Clear(q.fingerprint)
+	}
 	took := time.Since(q.start)
 	r.metrics.end(end, took)
 	klog.InfoS("Request ended", "request", q.id, "route", q.route.Name, "version", q.table.Version(), "end", end, "code", code,
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -14,6 +14,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntcall"
 	"mulberryshunt.example/mulberryshunt/shuntcatalog"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntmember"
 	"mulberryshunt.example/mulberryshunt/shuntrandom"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
@@ -91,9 +92,11 @@
 		cold:    shuntbalance.NewColdGate(),
 		metrics: newFrontMetrics(c.Metrics),
 	}
+	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
 	r.node = shuntmember.NewNode(shuntmember.Config{
 		Address: s.Peer, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf: func(zone string) string { return s.Regions[zone] },
+		Guard:    guard,
 		Since:    func(revision int64) shuntcatalog.Delta { return r.follower.Since(r.ctx, revision) },
 	})
 	r.follower = shuntcatalog.NewFollower(shuntcatalog.FollowerConfig{
@@ -108,6 +111,8 @@
 		}),
 		ColdBurst: func(v shuntroute.Service) float64 { return v.ColdRate*s.ColdFactor + s.ColdSlack },
 		Metrics:   shuntcall.NewMetrics(c.Metrics),
+		Guard:     guard,
+		Witness:   shuntguard.NewWitness(),
 	})
 	return r
 }
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -194,6 +194,19 @@
 // Warm opens a connection to the server if there is none, so that the first
 // requests do not wait for one.
 func (p *Pool) Warm(ctx context.Context, s Server) error {
+	key := s.ID + " " + s.Address
+	p.mu.Lock()
+	h := p.hosts[key]
+	connected := h != nil && h.open > 0
+	p.mu.Unlock()
+	if connected {
+		return nil
+	}
+	return p.Probe(ctx, s)
+}
+
+// Probe opens a connection to the server and keeps it.
+func (p *Pool) Probe(ctx context.Context, s Server) error {
 	key := s.ID + " " + s.Address
 	p.mu.Lock()
 	h := p.hosts[key]
@@ -201,10 +214,6 @@
 		h = &host{}
 		p.hosts[key] = h
 	}
-	if h.open > 0 {
-		p.mu.Unlock()
-		return nil
-	}
 	h.open++
 	p.opens++
 	p.mu.Unlock()
