--- /dev/null
+++ b/shuntbalance/balance_test.go
@@ -0,0 +1,172 @@
+package shuntbalance
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryshunt.example/mulberryshunt/shuntroute"
+)
+
+var (
+	near    = shuntroute.Server{ID: "near", Slots: 2, Region: "here"}
+	near2   = shuntroute.Server{ID: "near2", Slots: 2, Region: "here"}
+	far     = shuntroute.Server{ID: "far", Slots: 2, Region: "there"}
+	servers = []shuntroute.Server{near, near2}
+)
+
+func newBoard() *Board { return NewBoard(BoardConfig{Region: "here"}) }
+
+func (b *Board) run(s shuntroute.Server, took time.Duration, result Result) {
+	a := b.Begin(s)
+	time.Sleep(took)
+	b.End(s, a, result)
+}
+
+// TestChoose is whom a request goes to after what was seen.
+func TestChoose(t *testing.T) {
+	cases := map[string]struct {
+		before  func(b *Board)
+		servers []shuntroute.Server
+		tried   []Incarnation
+		want    string
+	}{
+		"its own region first":                  {func(*Board) {}, []shuntroute.Server{far, near}, nil, "near"},
+		"a far one rather than a slow one":      {func(b *Board) { b.slow(near) }, []shuntroute.Server{far, near}, nil, "far"},
+		"not a slow one":                        {func(b *Board) { b.slow(near) }, servers, nil, "near2"},
+		"a slow one is tried again":             {func(b *Board) { b.slow(near); time.Sleep(time.Minute); b.run(near2, 20*time.Millisecond, Good) }, servers, nil, "near"},
+		"a stalled one at once":                 {func(b *Board) { b.Begin(near); time.Sleep(50 * time.Millisecond) }, servers, nil, "near2"},
+		"not a failing one":                     {func(b *Board) { b.run(near, time.Millisecond, Failed) }, servers, nil, "near2"},
+		"not one that can't be reached":         {func(b *Board) { b.run(near, time.Millisecond, Unreached) }, servers, nil, "near2"},
+		"one that can't be reached if need be":  {func(b *Board) { b.run(near, time.Millisecond, Unreached) }, []shuntroute.Server{near}, nil, "near"},
+		"never one whose address has another":   {func(b *Board) { b.run(near, time.Millisecond, Elsewhere) }, []shuntroute.Server{near}, nil, ""},
+		"not one that was tried":                {func(*Board) {}, servers, []Incarnation{{ID: "near"}}, "near2"},
+		"none left":                             {func(*Board) {}, []shuntroute.Server{near}, []Incarnation{{ID: "near"}}, ""},
+		"a lapsed one last":                     {func(b *Board) { b.slow(near2) }, []shuntroute.Server{near.WithLapsed(time.Now()), near2}, nil, "near2"},
+		"a lapsed one if all others are silent": {func(b *Board) { b.run(near2, time.Millisecond, Unreached) }, []shuntroute.Server{near.WithLapsed(time.Now()), near2}, nil, "near"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBoard()
+				c.before(b)
+				got, ok := b.Choose(c.servers, Choice{Tried: c.tried})
+				if ok != (c.want != "") || got.ID != c.want {
+					t.Errorf("got %q %v; want %q", got.ID, ok, c.want)
+				}
+			})
+		})
+	}
+}
+
+func (b *Board) slow(s shuntroute.Server) {
+	for range 10 {
+		b.run(s, 200*time.Millisecond, Good)
+	}
+}
+
+// TestNewLife: nothing that was seen of one life counts for the next.
+func TestNewLife(t *testing.T) {
+	b := newBoard()
+	b.End(near, b.Begin(near), Elsewhere)
+	again := near
+	again.Born = 7
+	if _, ok := b.Choose([]shuntroute.Server{again}, Choice{}); !ok {
+		t.Error("the next life is not chosen")
+	}
+}
+
+// TestRetryBudget: whatever the load and however VMs differ in it, the extra
+// attempts of all of them in any window stay within the common bound.
+func TestRetryBudget(t *testing.T) {
+	const (
+		ratio  = 0.2
+		slack  = 52.0
+		window = 10 * time.Second
+		vms    = 6
+	)
+	rapid.Check(t, func(rt *rapid.T) {
+		loads := rapid.SliceOfN(rapid.IntRange(0, 40), vms, vms).Draw(rt, "loads")
+		seconds := rapid.IntRange(1, 30).Draw(rt, "seconds")
+		synctest.Test(t, func(*testing.T) {
+			var budgets []*RetryBudget
+			for range vms {
+				budgets = append(budgets, NewRetryBudget(RetryBudgetConfig{Ratio: ratio, Slack: slack, Window: window, Share: func() float64 { return 1.0 / vms }}))
+			}
+			var extras []time.Time
+			var requests []time.Time
+			for range seconds {
+				for i, b := range budgets {
+					for range loads[i] {
+						b.Request("s")
+						requests = append(requests, time.Now())
+						for b.Take("s", 0) {
+							extras = append(extras, time.Now())
+						}
+					}
+				}
+				time.Sleep(time.Second)
+			}
+			for _, end := range extras {
+				n, m := within(extras, end, window), within(requests, end, window)
+				if float64(n) > ratio*float64(m)+slack {
+					rt.Fatalf("%d extra attempts with %d requests in a window", n, m)
+				}
+			}
+		})
+	})
+}
+
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, v := range times {
+		if !v.After(end) && end.Sub(v) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// TestBudgetReserve: hedges leave a part of the budget to retries.
+func TestBudgetReserve(t *testing.T) {
+	b := NewRetryBudget(RetryBudgetConfig{Ratio: 0, Slack: 100, Window: 10 * time.Second, Share: func() float64 { return 1 }})
+	hedges := 0
+	for b.Take("s", 0.25) {
+		hedges++
+	}
+	retries := 0
+	for b.Take("s", 0) {
+		retries++
+	}
+	if hedges == 0 || retries < hedges/4 {
+		t.Errorf("%d hedges, then %d retries", hedges, retries)
+	}
+}
+
+// TestColdGate: two VMs that both hold themselves in charge of a cold server
+// keep within what it bears in any second.
+func TestColdGate(t *testing.T) {
+	const burst = 5
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(1, 400), 1, 60).Draw(rt, "steps")
+		synctest.Test(t, func(*testing.T) {
+			gates := []*ColdGate{NewColdGate(), NewColdGate()}
+			var sent []time.Time
+			for _, step := range steps {
+				for _, g := range gates {
+					if g.Take(Incarnation{ID: "s"}, burst) {
+						sent = append(sent, time.Now())
+					}
+				}
+				time.Sleep(time.Duration(step) * time.Millisecond)
+			}
+			for _, end := range sent {
+				if n := within(sent, end, time.Second); n > burst {
+					rt.Fatalf("%d requests in a second", n)
+				}
+			}
+		})
+	})
+}
