--- /dev/null
+++ b/shuntcall/call_test.go
@@ -0,0 +1,368 @@
+package shuntcall
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+	"mulberryshunt.example/mulberryshunt/shuntroute"
+	"mulberryshunt.example/mulberryshunt/shuntupstream"
+)
+
+var testHeaders = shuntupstream.Headers{RequestID: "Id", Deadline: "Left", Instance: "For", NotRun: "Not-Run", Signature: "Signed"}
+
+// behavior is how a stand-in server answers.
+type behavior struct {
+	after time.Duration
+	// unreachable servers accept no connection; dark ones never answer an
+	// attempt to connect.
+	unreachable, dark bool
+	// mute servers never answer, broken ones close the connection.
+	mute, broken bool
+	// declines is how many requests the server declines first; -1 means all.
+	declines  int
+	code      int
+	signature string
+	region    string
+	cold      bool
+}
+
+// world is a set of stand-in servers in virtual time. Each service has servers
+// by name; the address of a server is service/name.
+type world struct {
+	behaviors map[string]behavior
+	inCharge  bool
+	share     float64
+
+	mu       sync.Mutex
+	arrivals map[string]int
+	group    shuntgroup.Group
+	caller   *Caller
+	view     *shuntroute.View
+	table    *shuntroute.Table
+}
+
+func (w *world) Share() float64       { return w.share }
+func (w *world) InCharge(string) bool { return w.inCharge }
+
+// run builds a caller over the services, and runs f in virtual time.
+func run(t *testing.T, services map[string]map[string]behavior, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{behaviors: map[string]behavior{}, arrivals: map[string]int{}, share: 1}
+		var servers []shuntroute.Server
+		config := shuntroute.TableConfig{Version: 1}
+		for service, byName := range services {
+			config.Services = append(config.Services, shuntroute.Service{Name: service, MaxConns: 10})
+			for name, b := range byName {
+				address := service + "/" + name
+				w.behaviors[address] = b
+				s := shuntroute.Server{ID: address, Service: service, Address: address, Slots: 2, Region: "here"}
+				if b.region != "" {
+					s.Region = b.region
+				}
+				if b.cold {
+					s.ColdUntil = time.Now().Add(time.Hour)
+				}
+				servers = append(servers, s)
+			}
+		}
+		w.table = shuntroute.NewTable(config)
+		w.view = shuntroute.NewView(w.table, 1, servers, nil)
+		w.caller = New(Config{
+			Pool:      shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
+			Board:     shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: "here"}),
+			Budget:    shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
+			Cold:      shuntbalance.NewColdGate(),
+			Fleet:     w,
+			Group:     &w.group,
+			View:      func() *shuntroute.View { return w.view },
+			ColdBurst: func(shuntroute.Service) float64 { return 5 },
+			Headers:   testHeaders,
+			Metrics:   NewMetrics(metrics.NewSet()),
+			Guard:     shuntguard.New(shuntguard.Config{}),
+			Witness:   shuntguard.NewWitness(),
+		})
+		f(t, w)
+		time.Sleep(time.Minute)
+		w.group.Close()
+	})
+}
+
+func (w *world) dial(ctx context.Context, address string) (net.Conn, error) {
+	b := w.behaviors[address]
+	switch {
+	case b.unreachable:
+		return nil, errors.New("refused")
+	case b.dark:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	ours, theirs := net.Pipe()
+	w.group.Go(func() { w.serve(theirs, address) })
+	w.group.Go(func() {
+		time.Sleep(50 * time.Second)
+		_ = theirs.Close()
+	})
+	return ours, nil
+}
+
+func (w *world) serve(c net.Conn, address string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.arrivals[address]++
+		n := w.arrivals[address]
+		w.mu.Unlock()
+		if !w.answer(c, req, address, n) {
+			return
+		}
+	}
+}
+
+func (w *world) answer(c net.Conn, req *http.Request, address string, n int) bool {
+	b := w.behaviors[address]
+	if b.mute {
+		time.Sleep(40 * time.Second)
+		return false
+	}
+	if b.declines < 0 || n <= b.declines {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 No\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Id"))
+		return err == nil
+	}
+	time.Sleep(b.after)
+	if b.broken {
+		return false
+	}
+	code, signature := b.code, b.signature
+	if code == 0 {
+		code = http.StatusOK
+	}
+	if signature == "" {
+		signature = address
+	}
+	body := fmt.Sprintf("%-16.16s", address)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nSigned: %s\r\nContent-Length: %d\r\n\r\n%s", code, req.Header.Get("Id"), signature, len(body), body)
+	return err == nil
+}
+
+func (w *world) total() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, v := range w.arrivals {
+		n += v
+	}
+	return n
+}
+
+const (
+	goal     = 120 * time.Millisecond
+	deadline = 800 * time.Millisecond
+	fast     = 10 * time.Millisecond
+)
+
+// TestForward is how a request to one service ends, and how often it reaches
+// servers.
+func TestForward(t *testing.T) {
+	two := func(a, b behavior) map[string]behavior { return map[string]behavior{"a": a, "b": b} }
+	cases := map[string]struct {
+		servers  map[string]behavior
+		once     bool
+		attempts int
+		end      End
+		code     int
+		// arrivals is the greatest number of requests that reach servers.
+		arrivals int
+		within   time.Duration
+		inCharge bool
+	}{
+		"served":                                {servers: two(behavior{after: fast}, behavior{after: fast}), end: Served, code: 200, arrivals: 1, within: fast},
+		"once: a broken one is not asked again": {servers: two(behavior{broken: true}, behavior{broken: true}), once: true, end: Faulted, arrivals: 1, within: fast},
+		"once: declined, then served":           {servers: two(behavior{declines: 1}, behavior{declines: 1}), once: true, end: Served, code: 200, arrivals: 3, within: goal},
+		"once: a mute one is not hedged":        {servers: two(behavior{mute: true}, behavior{mute: true}), once: true, end: Expired, arrivals: 1, within: deadline},
+		"once: refused connections":             {servers: two(behavior{unreachable: true}, behavior{unreachable: true}), once: true, end: Refused, arrivals: 0, within: fast},
+		"once: an error is passed on":           {servers: two(behavior{code: 500}, behavior{code: 500}), once: true, end: Faulted, code: 500, arrivals: 1, within: fast},
+		"broken, then served":                   {servers: two(behavior{broken: true, after: time.Millisecond}, behavior{after: fast, region: "there"}), end: Served, code: 200, arrivals: 2, within: goal},
+		"mute, then hedged":                     {servers: two(behavior{mute: true}, behavior{after: fast, region: "there"}), end: Served, code: 200, arrivals: 2, within: goal},
+		"mute, one attempt allowed":             {servers: two(behavior{mute: true}, behavior{mute: true}), attempts: 1, end: Expired, arrivals: 1, within: deadline},
+		"both fail":                             {servers: two(behavior{code: 500}, behavior{code: 500}), end: Faulted, code: 500, arrivals: 2, within: goal},
+		"all decline":                           {servers: two(behavior{declines: -1}, behavior{declines: -1}), end: Refused, arrivals: maxArrivals, within: deadline},
+		"dark: nothing was sent":                {servers: two(behavior{dark: true}, behavior{dark: true}), once: true, end: Refused, arrivals: 0, within: 2 * deadline},
+		"no server":                             {servers: nil, end: Refused, arrivals: 0, within: fast},
+		"only in a region not allowed":          {servers: map[string]behavior{"a": {region: "elsewhere"}}, end: Refused, arrivals: 0, within: fast},
+		"cold, another VM is in charge":         {servers: map[string]behavior{"a": {cold: true}}, end: Refused, arrivals: 0, within: fast},
+		"cold, this VM is in charge":            {servers: map[string]behavior{"a": {cold: true}}, inCharge: true, end: Served, code: 200, arrivals: 1, within: fast},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, map[string]map[string]behavior{"s": c.servers}, func(t *testing.T, w *world) {
+				w.inCharge = c.inCharge
+				attempts := c.attempts
+				if attempts == 0 {
+					attempts = 2
+				}
+				route := &shuntroute.Route{Idempotent: !c.once, Goal: goal, MaxAttempts: attempts, Regions: []string{"here", "there"}}
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				service, _ := w.table.Service("s")
+				res := w.caller.Forward(ctx, route, service, w.request(start), 1, false)
+				took := time.Since(start)
+				if res.End != c.end || res.Reply.Code != c.code {
+					t.Errorf("ended %v with %d (%s); want %v with %d", res.End, res.Reply.Code, res.Reason, c.end, c.code)
+				}
+				time.Sleep(time.Second)
+				if n := w.total(); n > c.arrivals {
+					t.Errorf("%d requests reached servers; want at most %d", n, c.arrivals)
+				}
+				if took > c.within {
+					t.Errorf("took %v; want at most %v", took, c.within)
+				}
+			})
+		})
+	}
+}
+
+func (w *world) request(start time.Time) shuntupstream.Request {
+	return shuntupstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Deadline: start.Add(deadline)}
+}
+
+// TestScatter is when a query over ten shards is answered, and with how many.
+func TestScatter(t *testing.T) {
+	const shards = 10
+	slow := behavior{after: 300 * time.Millisecond}
+	both := func(b behavior) map[string]behavior { return map[string]behavior{"a": b, "b": b} }
+	cases := map[string]struct {
+		// bad are the behaviors of the first shards; the others are fast.
+		bad     []map[string]behavior
+		end     End
+		missing int
+		from    time.Duration
+		to      time.Duration
+	}{
+		"all are in":                        {nil, Served, 0, 0, fast},
+		"a stalled server is hedged":        {[]map[string]behavior{{"a": {mute: true}, "b": {after: fast, region: "there"}}}, Served, 0, 0, goal - answerMargin},
+		"a slow shard is left out":          {[]map[string]behavior{both(slow)}, Served, 1, goal - answerMargin, goal},
+		"a dead shard does not delay":       {[]map[string]behavior{both(behavior{unreachable: true})}, Served, 1, 0, goal - answerMargin},
+		"too many slow: when enough are in": {[]map[string]behavior{both(slow), both(slow), both(behavior{after: 500 * time.Millisecond})}, Served, 2, 300 * time.Millisecond, 350 * time.Millisecond},
+		"too many dead":                     {[]map[string]behavior{both(behavior{unreachable: true}), both(behavior{unreachable: true}), both(behavior{unreachable: true})}, Faulted, shards, 0, fast},
+		"too many mute":                     {[]map[string]behavior{both(behavior{mute: true}), both(behavior{mute: true}), both(behavior{mute: true})}, Expired, 3, deadline, deadline},
+		"another shard's signature":         {[]map[string]behavior{both(behavior{signature: "same"}), both(behavior{signature: "same"})}, Served, 1, 0, goal},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			services := map[string]map[string]behavior{}
+			route := &shuntroute.Route{Idempotent: true, Goal: goal, MaxAttempts: 2, MinCoverage: 0.8, TopRecords: 3}
+			for i := range shards {
+				name := fmt.Sprintf("s%d", i)
+				route.Shards = append(route.Shards, name)
+				services[name] = both(behavior{after: fast})
+				if i < len(c.bad) {
+					services[name] = c.bad[i]
+				}
+			}
+			run(t, services, func(t *testing.T, w *world) {
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				a := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: w.request(start), Start: start})
+				took := time.Since(start)
+				if a.End != c.end || a.Missing != c.missing {
+					t.Errorf("ended %v, %d missing (%s); want %v, %d", a.End, a.Missing, a.Reason, c.end, c.missing)
+				}
+				if took < c.from || took > c.to {
+					t.Errorf("took %v; want %v to %v", took, c.from, c.to)
+				}
+			})
+		})
+	}
+}
+
+// TestNoShardAnswers: only where no shard has run is the query refused.
+func TestNoShardAnswers(t *testing.T) {
+	run(t, map[string]map[string]behavior{"s": {"a": {unreachable: true}}}, func(t *testing.T, w *world) {
+		route := &shuntroute.Route{Idempotent: true, Goal: goal, MaxAttempts: 2, Shards: []string{"s", "unknown"}}
+		a := w.caller.Scatter(t.Context(), Query{Route: route, Table: w.table, Request: w.request(time.Now()), Start: time.Now()})
+		if a.End != Refused || a.Missing != 2 {
+			t.Errorf("got %+v", a)
+		}
+	})
+}
+
+// TestCrashingRequest: a request under which servers die is refused after a few,
+// also when its caller sends it again and again; others are not.
+func TestCrashingRequest(t *testing.T) {
+	run(t, map[string]map[string]behavior{"s": {"a": {after: fast}}}, func(t *testing.T, w *world) {
+		const bad, good = 7, 8
+		died := 0
+		for range 10 {
+			a, release := w.caller.Admit(bad)
+			if a.Refused == "" {
+				server := fmt.Sprintf("i-%d", died)
+				w.caller.config.Witness.Broken(server, bad)
+				w.caller.dead(server)
+				died++
+			}
+			release()
+			time.Sleep(time.Second)
+		}
+		if died > 3 {
+			t.Errorf("%d servers died", died)
+		}
+		if a, _ := w.caller.Admit(good); a.Refused != "" || a.Suspect {
+			t.Errorf("another request: %+v", a)
+		}
+		w.caller.config.Witness.Broken("i-a", good)
+		w.caller.config.Witness.Alive("i-a")
+		w.caller.dead("i-a")
+		if a, _ := w.caller.Admit(good); a.Suspect {
+			t.Error("a lost answer of a live server counts as a crash")
+		}
+	})
+}
+
+// TestGreatest is what the parts of an answer are merged to.
+func TestGreatest(t *testing.T) {
+	record := func(s string) []byte { return fmt.Appendf(nil, "%-16s", s) }
+	cases := map[string]struct {
+		parts [][]byte
+		top   int
+		want  []byte
+	}{
+		"greatest first":   {[][]byte{append(record("a"), record("c")...), record("b")}, 2, append(record("c"), record("b")...)},
+		"equal ones count": {[][]byte{record("a"), record("a")}, 2, append(record("a"), record("a")...)},
+		"fewer than asked": {[][]byte{record("a")}, 5, record("a")},
+		"a remainder":      {[][]byte{append(record("a"), "zzz"...)}, 5, record("a")},
+		"nothing":          {nil, 5, nil},
+		"bytes, not text":  {[][]byte{append([]byte{0xff}, make([]byte, 15)...), record("z")}, 1, append([]byte{0xff}, make([]byte, 15)...)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := Greatest(c.parts, c.top); !bytes.Equal(got, c.want) {
+				t.Errorf("got %q; want %q", got, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/shuntmember/member_test.go
@@ -0,0 +1,310 @@
+package shuntmember
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryshunt.example/mulberryshunt/shuntcatalog"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
+)
+
+func regionOf(zone string) string { return zone[:1] }
+
+func vm(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
+}
+
+// fleet is the reports of VMs in regions a, b and c, each with two zones.
+func fleet(n int, capacity func(i int) uint32) []Report {
+	var out []Report
+	for i := range n {
+		zone := fmt.Sprintf("%c%d", 'a'+i%3, i/3%2)
+		out = append(out, Report{Address: vm(i), Zone: zone, Start: 1, Count: 1, Serving: true, Reading: true, Capacity: capacity(i)})
+	}
+	return out
+}
+
+func equal(int) uint32 { return 400 }
+
+// seenBy returns the snapshot of VM i that has heard the reports.
+func seenBy(i int, reports []Report) *Snapshot {
+	r := NewRoster(reports[i], regionOf)
+	now := time.Now()
+	r.Hear(reports, now)
+	return r.Snapshot(now, true)
+}
+
+// TestEntries is whom callers are sent to.
+func TestEntries(t *testing.T) {
+	large := func(i int) uint32 {
+		if i < 12 {
+			return 800
+		}
+		return 192
+	}
+	loaded := func(load uint32) []Report {
+		out := fleet(62, large)
+		for i := range out {
+			out[i].Load = load
+		}
+		return out
+	}
+	cases := map[string]struct {
+		reports []Report
+		change  func([]Report)
+		want    int
+	}{
+		"two of a small region":     {fleet(6, equal), func([]Report) {}, 2},
+		"one that serves":           {fleet(6, equal), func(r []Report) { r[0].Serving = false }, 1},
+		"none that is leaving":      {fleet(6, equal), func(r []Report) { r[0].Leaving = true }, 1},
+		"two of many":               {loaded(0), func([]Report) {}, 2},
+		"more as the load grows":    {loaded(300), func([]Report) {}, 5},
+		"all under a great load":    {loaded(1 << 20), func([]Report) {}, 21},
+		"another region if need be": {fleet(6, equal), func(r []Report) { r[0].Serving, r[3].Serving = false, false }, 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.change(c.reports)
+			got := seenBy(1, c.reports).Entries("a")
+			if len(got) != c.want {
+				t.Errorf("got %d entries; want %d", len(got), c.want)
+			}
+			if other := seenBy(2, c.reports).Entries("a"); !reflect.DeepEqual(got, other) {
+				t.Errorf("VMs that know the same VMs differ: %v and %v", got, other)
+			}
+		})
+	}
+	for _, a := range seenBy(0, loaded(0)).Entries("b") {
+		if i := int(a.Addr().As4()[3]) - 1; i >= 12 {
+			t.Errorf("small VM %d is an entry", i)
+		}
+	}
+}
+
+// TestShares: the shares of all VMs add up to at most 1 where they see the same
+// VMs, and while they have lost sight of each other for less than knownTime.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 80).Draw(rt, "VMs")
+		large := rapid.IntRange(0, n).Draw(rt, "large")
+		reports := fleet(n, func(i int) uint32 {
+			if i < large {
+				return 800
+			}
+			return 192
+		})
+		sum := 0.0
+		for i := range reports {
+			sum += seenBy(i, reports).Share()
+		}
+		if sum > 1+1e-9 {
+			rt.Fatalf("the shares add up to %v", sum)
+		}
+	})
+}
+
+// TestSharesWithRegionsApart: regions that lose each other keep their entries,
+// so that the sum holds: each VM remembers the others.
+func TestSharesWithRegionsApart(t *testing.T) {
+	reports := fleet(12, equal)
+	sum := 0.0
+	for i, self := range reports {
+		r := NewRoster(self, regionOf)
+		heard := time.Now()
+		r.Hear(reports, heard)
+		now := heard.Add(aliveTime + time.Second)
+		var near []Report
+		for _, v := range reports {
+			if regionOf(v.Zone) == regionOf(self.Zone) {
+				v.Count++
+				near = append(near, v)
+			}
+		}
+		r.Hear(near, now)
+		r.Expire(now)
+		s := r.Snapshot(now, true)
+		if len(s.Entries(regionOf(self.Zone))) != entriesLeast {
+			t.Errorf("VM %d sees the entries %v", i, s.Entries(regionOf(self.Zone)))
+		}
+		sum += s.Share()
+	}
+	if sum > 1+1e-9 {
+		t.Errorf("the shares add up to %v", sum)
+	}
+}
+
+// TestInCharge: exactly one VM is in charge of a cold server.
+func TestInCharge(t *testing.T) {
+	reports := fleet(20, equal)
+	for _, name := range []string{"i-1", "i-2", "i-3"} {
+		n := 0
+		for i := range reports {
+			if seenBy(i, reports).InCharge(name) {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Errorf("%d VMs are in charge of %s", n, name)
+		}
+	}
+}
+
+// TestReaders: two VMs of each region read the platform, and others as soon as
+// these can't.
+func TestReaders(t *testing.T) {
+	readers := func(reports []Report) int {
+		n := 0
+		for i := range reports {
+			if seenBy(i, reports).Reads() {
+				n++
+			}
+		}
+		return n
+	}
+	reports := fleet(30, equal)
+	if n := readers(reports); n != 3*readersLeast {
+		t.Errorf("%d readers", n)
+	}
+	for i := range reports {
+		reports[i].Reading = i%3 != 0
+	}
+	if n := readers(reports); n != 2*readersLeast+10 {
+		t.Errorf("%d readers where a region can't read", n)
+	}
+}
+
+// TestLives is what a report means after another one of the same VM.
+func TestLives(t *testing.T) {
+	cases := map[string]struct {
+		first, then Report
+		want        Report
+	}{
+		"a later count":               {Report{Start: 5, Count: 9}, Report{Start: 5, Count: 10, Leaving: true}, Report{Start: 5, Count: 10, Leaving: true}},
+		"an earlier count":            {Report{Start: 5, Count: 9}, Report{Start: 5, Count: 8, Leaving: true}, Report{Start: 5, Count: 9}},
+		"a later life":                {Report{Start: 5, Count: 9, Leaving: true}, Report{Start: 6, Count: 1}, Report{Start: 6, Count: 1}},
+		"a report of an earlier life": {Report{Start: 5, Count: 9}, Report{Start: 4, Count: 99}, Report{Start: 5, Count: 9}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := NewRoster(Report{Address: vm(0), Zone: "a0"}, regionOf)
+			c.first.Address, c.then.Address, c.want.Address = vm(1), vm(1), vm(1)
+			r.Hear([]Report{c.first}, time.Now())
+			r.Hear([]Report{c.then}, time.Now())
+			if got := r.members[vm(1)].report; got != c.want {
+				t.Errorf("got %+v; want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestClockSetBack: a VM whose clock was set back before it started again is not
+// taken for its earlier life.
+func TestClockSetBack(t *testing.T) {
+	r := NewRoster(Report{Address: vm(0), Zone: "a0", Start: 100}, regionOf)
+	r.Hear([]Report{{Address: vm(0), Start: 500, Count: 70}}, time.Now())
+	if s := r.Self(); s.Start != 501 {
+		t.Errorf("start %d; want one beyond the earlier life's", s.Start)
+	}
+}
+
+// TestSilence: a VM whose count stands still is no longer sent callers.
+func TestSilence(t *testing.T) {
+	reports := fleet(6, equal)
+	r := NewRoster(reports[0], regionOf)
+	now := time.Now()
+	r.Hear(reports, now)
+	later := now.Add(aliveTime + time.Millisecond)
+	r.Hear(reports, later)
+	r.Expire(later)
+	if got := r.Snapshot(later, true).Entries("a"); len(got) != 1 {
+		t.Errorf("entries %v; want this VM alone", got)
+	}
+}
+
+// TestDatagram: what is written is read again; anything else is an error, never
+// a panic.
+func TestDatagram(t *testing.T) {
+	suspicions := []shuntguard.Suspicion{{Fingerprint: 7, Servers: []string{"i-1", "i-2"}, Strikes: 2, Age: 3 * time.Second}}
+	reports := fleet(5, equal)
+	b := encodeDatagram(suspicions, reports)
+	gotSuspicions, gotReports, err := decodeDatagram(b)
+	if err != nil || !reflect.DeepEqual(gotReports, reports) || !reflect.DeepEqual(gotSuspicions, suspicions) {
+		t.Errorf("got %+v %+v %v", gotSuspicions, gotReports, err)
+	}
+	if b := encodeDatagram(nil, fleet(870, equal)); len(b) > maxDatagram {
+		t.Errorf("%d bytes", len(b))
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		junk := rapid.SliceOf(rapid.Byte()).Draw(rt, "bytes")
+		_, _, _ = decodeDatagram(junk)
+		_, _, _ = decodeDatagram(append([]byte{datagramVersion}, junk...))
+	})
+	for i := range b[:len(b)-1] {
+		if _, got, err := decodeDatagram(b[:i]); err == nil && len(got) == len(reports) {
+			t.Errorf("%d of %d bytes read as the whole", i, len(b))
+		}
+	}
+}
+
+// TestNodes: nodes on loopback find each other from one seed, and one that
+// leaves is left out.
+func TestNodes(t *testing.T) {
+	const count = 4
+	var group shuntgroup.Group
+	ctx, cancel := context.WithCancel(context.Background())
+	var nodes []*Node
+	for i := range count {
+		// Only the addresses differ: all nodes of a fleet have one port.
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 7, byte(i + 1)}), 17360)
+		n := NewNode(Config{
+			Address: address, Zone: "a0", Capacity: 400, RegionOf: regionOf, Group: &group, Random: shuntrandom.New(uint64(i + 1)),
+			Seeds: func() []netip.AddrPort {
+				return []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 7, 1}), 17360)}
+			},
+			Guard: shuntguard.New(shuntguard.Config{}),
+			Since: func(int64) shuntcatalog.Delta {
+				return shuntcatalog.Delta{State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{{Key: "k", Revision: 9, Value: []byte("v")}}}}
+			},
+		})
+		if err := n.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, n)
+	}
+	nodes[0].Update(func(r *Roster) { r.SetServing(true); r.SetRevision(9) })
+	waitFor(t, "all know each other", func() bool {
+		for _, n := range nodes {
+			if n.Snapshot().known != count {
+				return false
+			}
+		}
+		return true
+	})
+	waitFor(t, "a node learns of changes at another", func() bool {
+		d, ok := nodes[3].Newer(ctx, 5)
+		return ok && d.Revision == 9 && string(d.Records[0].Value) == "v"
+	})
+	nodes[0].Update(func(r *Roster) { r.SetLeaving() })
+	waitFor(t, "the one that leaves is left out", func() bool { return len(nodes[2].Snapshot().regions["a"]) == count-1 })
+	cancel()
+	group.Close()
+}
+
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("not in time: %s", what)
+}
