--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -36,40 +37,52 @@
 	// zone with many backend servers before others.
 	regions map[string][]Report
 	entries map[netip.AddrPort]bool
-	known   int
 	share   float64
 	reads   bool
 }
 
 // Snapshot returns the immutable view that traffic goes by.
 func (r *Roster) Snapshot(now time.Time, settled bool) *Snapshot {
-	s := &Snapshot{self: r.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}, known: 1}
+	s := &Snapshot{self: r.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}}
+	// known also holds VMs that have fallen silent not long ago: they may be
+	// alive, out of sight, and use their share.
+	known := map[string][]Report{}
+	own := r.regionOf(r.self.Zone)
+	known[own] = append(known[own], r.self)
 	if !r.self.Leaving {
-		s.add(r.regionOf(r.self.Zone), r.self)
+		s.regions[own] = append(s.regions[own], r.self)
 	}
 	for _, m := range r.members {
+		region := r.regionOf(m.report.Zone)
 		if now.Sub(m.heard) <= knownTime {
-			s.known++
+			known[region] = append(known[region], m.report)
 		}
 		if m.alive && !m.report.Leaving {
-			s.add(r.regionOf(m.report.Zone), m.report)
+			s.regions[region] = append(s.regions[region], m.report)
 		}
 	}
 	for _, reports := range s.regions {
-		slices.SortFunc(reports, func(a, b Report) int {
-			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(r.servers[b.Zone], r.servers[a.Zone]), cmp.Compare(weight(a.Address, ""), weight(b.Address, "")))
-		})
+		r.sort(reports)
 		for _, e := range entriesOf(reports) {
 			s.entries[e.Address] = true
 		}
 	}
-	s.share = s.shareOf(settled)
-	s.reads = s.mustRead(r.regionOf(r.self.Zone))
+	total, entries := 0, 0
+	for _, reports := range known {
+		r.sort(reports)
+		total += len(reports)
+		entries += len(entriesOf(reports))
+	}
+	s.share = s.shareOf(total, entries, settled)
+	s.reads = s.mustRead(own)
 	return s
 }
 
-func (s *Snapshot) add(region string, m Report) {
-	s.regions[region] = append(s.regions[region], m)
+// sort puts the first choice for callers first.
+func (r *Roster) sort(reports []Report) {
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(r.servers[b.Zone], r.servers[a.Zone]), cmp.Compare(weight(a.Address, ""), weight(b.Address, "")))
+	})
 }
 
 // entriesOf returns the VMs that callers of a region are sent to: as few as
@@ -94,18 +107,19 @@
 	return out
 }
 
-// shareOf returns the part of common limits that this VM may use. The sum over
-// all VMs stays below 1 where they see the same VMs.
-func (s *Snapshot) shareOf(settled bool) float64 {
-	entries := max(1, len(s.entries))
-	others := max(1, s.known-entries)
+// shareOf returns the part of common limits that this VM may use, among the
+// known VMs, entries of them entries. The sum over all VMs stays within 1 where
+// they know the same VMs, also while they have just lost sight of each other.
+func (s *Snapshot) shareOf(known, entries int, settled bool) float64 {
+	others := max(1, known-entries)
+	entries = max(1, entries)
 	if !settled {
 		entries = max(entries, sizeFloor)
 	}
-	if s.known == entries && settled {
+	switch {
+	case known <= entries:
 		return 1 / float64(entries)
-	}
-	if s.entries[s.self] || len(s.entries) == 0 {
+	case s.entries[s.self] || len(s.entries) == 0:
 		return entryShare / float64(entries)
 	}
 	return (1 - entryShare) / float64(others)
@@ -191,7 +205,7 @@
 		return near
 	}
 	var all []netip.AddrPort
-	for r := range s.regions {
+	for _, r := range slices.Sorted(maps.Keys(s.regions)) {
 		all = append(all, s.addresses(r)...)
 	}
 	return all
