--- a/shuntcommand/command.go
+++ b/shuntcommand/command.go
@@ -67,6 +67,7 @@
 		statusCommand(),
 		explainCommand(),
 		capacityCommand(),
+		soakCommand(),
 		docsCommand(),
 	}
 }
--- /dev/null
+++ b/shuntcommand/soak.go
@@ -0,0 +1,68 @@
+package shuntcommand
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/platform/shuntsoak"
+)
+
+const (
+	soakDuration = 20 * time.Second
+	soakVMs      = 6
+)
+
+func soakCommand() command {
+	return command{
+		name: "soak",
+		text: "run the daemons as processes on loopback, inject faults, and check what callers and servers see",
+		flags: func(fs *flag.FlagSet) func(*env) error {
+			seed := fs.Uint64("seed", 1, "the seed of the faults")
+			seeds := fs.Int("seeds", 1, "how many seeds to run, from -seed on")
+			duration := fs.Duration("duration", soakDuration, "how long faults are injected, for each seed")
+			vms := fs.Int("vms", soakVMs, "the number of daemon processes, 1 to 200")
+			daemon := fs.String("daemon", "target/mulberryshuntd", "the program to run")
+			dir := fs.String("dir", "", "folder for settings and logs; by default a new one, kept if a promise is broken")
+			return func(e *env) error {
+				if *vms < 1 || *vms > 200 || *seeds < 1 {
+					return usage("-vms must be 1 to 200, -seeds above 0")
+				}
+				for i := range *seeds {
+					c := shuntsoak.Config{Seed: *seed + uint64(i), Duration: *duration, VMs: *vms, Daemon: *daemon, Dir: *dir, Out: e.out}
+					if err := soakSeed(e, c); err != nil {
+						return err
+					}
+				}
+				return nil
+			}
+		},
+	}
+}
+
+func soakSeed(e *env, c shuntsoak.Config) error {
+	kept := c.Dir != ""
+	if !kept {
+		dir, err := os.MkdirTemp("", "mulberryshunt-soak-")
+		if err != nil {
+			return failed("%v", err)
+		}
+		c.Dir = dir
+	}
+	r, err := shuntsoak.Run(e.ctx, c)
+	if err != nil {
+		return failed("%v", err)
+	}
+	fmt.Fprintf(e.out, "seed %d: %d faults, %d requests, %d served, %d promises broken\n", c.Seed, r.Faults, r.Sent, r.Served, len(r.Broken))
+	for _, b := range r.Broken {
+		fmt.Fprintf(e.out, "  %s\n", b)
+	}
+	if len(r.Broken) > 0 {
+		return failed("seed %d: promises were broken; settings and logs are in %s", c.Seed, c.Dir)
+	}
+	if kept {
+		return nil
+	}
+	return os.RemoveAll(c.Dir)
+}
