Refuse queries at once when the shards as a whole answer too late

Before: every query waited in the servers' queues and most were late or failed. Ruled out: concurrency limits (3 to 4 queries in flight a VM: too coarse), and the time of the last shard (single dead shards would throttle all).

--- a/shuntcall/call_test.go
+++ b/shuntcall/call_test.go
@@ -87,6 +87,7 @@
 			Board:     shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: "here"}),
 			Budget:    shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
 			Cold:      shuntbalance.NewColdGate(),
+			Throttle:  shuntbalance.NewThrottle(),
 			Fleet:     w,
 			Group:     &w.group,
 			View:      func() *shuntroute.View { return w.view },
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -41,8 +41,10 @@
 	Board  *shuntbalance.Board
 	Budget *shuntbalance.RetryBudget
 	Cold   *shuntbalance.ColdGate
-	Fleet  Fleet
-	Group  *shuntgroup.Group
+	// Throttle bounds queries to indexes that are overloaded.
+	Throttle *shuntbalance.Throttle
+	Fleet    Fleet
+	Group    *shuntgroup.Group
 	// View returns the newest view.
 	View func() *shuntroute.View
 	// ColdBurst returns how many requests a second a cold server of the service
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
@@ -28,8 +29,14 @@
 	// Fingerprint identifies the content; servers may have died under a Suspect.
 	Fingerprint uint64
 	Suspect     bool
+	// Urgent queries go before others; Returned ones have been refused before.
+	Urgent   bool
+	Returned bool
 }
 
+// index names the set of shards.
+func (q Query) index() string { return q.Route.Shards[0] }
+
 // Part is one shard's answer.
 type Part struct {
 	Shard     string
@@ -58,6 +65,9 @@
 // It answers load in which single shards stall: their part of the answer is
 // worth less to the caller than its being in time.
 func (c *Caller) Scatter(ctx context.Context, q Query) Answer {
+	if !c.config.Throttle.Admit(shuntbalance.Ask{Index: q.index(), Urgent: q.Urgent, Returned: q.Returned}) {
+		return Answer{End: Refused, Missing: len(q.Route.Shards), Reason: "the servers carry no more queries"}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ends := make(chan shardEnd, len(q.Route.Shards))
@@ -66,7 +76,8 @@
 			return Answer{End: Refused, Missing: len(q.Route.Shards), Reason: "the process is ending"}
 		}
 	}
-	g := gathering{query: q, need: needed(q.Route), open: len(q.Route.Shards)}
+	g := gathering{query: q, need: needed(q.Route), open: len(q.Route.Shards), half: never}
+	defer func() { c.config.Throttle.Ended(q.index(), g.half, q.Route.Goal) }()
 	goal := time.NewTimer(time.Until(q.Start.Add(q.Route.Goal - answerMargin)))
 	defer goal.Stop()
 	for !g.complete() {
@@ -97,19 +108,32 @@
 	})
 }
 
+// hedgeAfter returns when a shard's second server is tried; 0 means never.
+func (c *Caller) hedgeAfter(q Query) time.Duration {
+	if c.config.Throttle.Overloaded(q.index()) {
+		return 0
+	}
+	return max(time.Millisecond, time.Until(q.Start.Add(time.Duration(hedgeFraction*float64(q.Route.Goal)))))
+}
+
 // needed returns the least number of shards of an answer.
 func needed(r *shuntroute.Route) int {
 	return max(1, int(math.Ceil(r.MinCoverage*float64(len(r.Shards))-1e-9)))
 }
 
+// never stands for shards that have not answered.
+const never = time.Hour
+
 // gathering is the state of a running query.
 type gathering struct {
-	query    Query
-	need     int
-	open     int
-	late     bool
-	ran      bool
-	parts    []Part
+	query Query
+	need  int
+	open  int
+	late  bool
+	ran   bool
+	parts []Part
+	// half is when half of the shards had answered, since the query came.
+	half     time.Duration
 	stamps   map[string]bool
 	reason   string
 	attempts int
@@ -135,6 +159,9 @@
 	}
 	g.stamps[p.Signature] = true
 	g.parts = append(g.parts, p)
+	if 2*len(g.parts) >= len(g.query.Route.Shards) && g.half == never {
+		g.half = time.Since(g.query.Start)
+	}
 }
 
 // complete says whether the query is to be answered now.
--- a/shuntcatalog/catalog_test.go
+++ b/shuntcatalog/catalog_test.go
@@ -44,7 +44,9 @@
 	return Record{Key: key, Revision: revision, Value: b}
 }
 
-func state(revision int64, records ...Record) State { return State{Revision: revision, Records: records} }
+func state(revision int64, records ...Record) State {
+	return State{Revision: revision, Records: records}
+}
 
 func only(t *testing.T, c *Catalog) shuntroute.Server {
 	t.Helper()
--- /dev/null
+++ b/shuntlog/log_test.go
@@ -0,0 +1,58 @@
+package shuntlog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+)
+
+// slowOutput takes a second for each write.
+type slowOutput struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *slowOutput) Write(p []byte) (int, error) {
+	time.Sleep(time.Second)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+// TestWriterNeverBlocks: what logs is not held up by a slow output; lines that
+// don't fit are dropped, counted and reported, the others come out in order.
+func TestWriterNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var group shuntgroup.Group
+		done := make(chan struct{})
+		out := &slowOutput{}
+		w := NewWriter(out, &group, done)
+		const lines = 5 * bufferedLines
+		start := time.Now()
+		for range lines {
+			if n, err := w.Write([]byte("line\n")); n != 5 || err != nil {
+				t.Fatalf("%d, %v", n, err)
+			}
+		}
+		if time.Since(start) != 0 {
+			t.Errorf("writing took %v", time.Since(start))
+		}
+		if w.Dropped() != lines-bufferedLines {
+			t.Errorf("%d lines dropped", w.Dropped())
+		}
+		time.Sleep(10 * time.Second)
+		close(done)
+		group.Close()
+		if n := strings.Count(out.b.String(), "line\n"); n != bufferedLines {
+			t.Errorf("%d lines written", n)
+		}
+		if !strings.Contains(out.b.String(), "log lines dropped: ") {
+			t.Error("the drops are not reported")
+		}
+	})
+}
--- a/shuntrouter/front.go
+++ b/shuntrouter/front.go
@@ -24,6 +24,11 @@
 	// replyMargin is how long before the caller's deadline the last answer
 	// leaves.
 	replyMargin = 10 * time.Millisecond
+	// urgentPriority is the rank up to which queries go before others.
+	urgentPriority = 1
+	// returnedMargin is how much less than the route's timeout a caller has left
+	// that has been refused before.
+	returnedMargin = 30 * time.Millisecond
 	// retryAfterLeast and retryAfterSpread are the pause that refused callers
 	// are asked to make; the spread keeps them from returning all at once.
 	retryAfterLeast  = 50 * time.Millisecond
@@ -211,7 +216,8 @@
 }
 
 func (r *Router) scatter(ctx context.Context, w http.ResponseWriter, q request) {
-	a := r.caller.Scatter(ctx, shuntcall.Query{Route: q.route, Table: q.table, Request: q.upstream, Start: q.start, Fingerprint: q.fingerprint, Suspect: q.suspect})
+	a := r.caller.Scatter(ctx, shuntcall.Query{Route: q.route, Table: q.table, Request: q.upstream, Start: q.start,
+		Fingerprint: q.fingerprint, Suspect: q.suspect, Urgent: q.route.Priority <= urgentPriority, Returned: r.returned(q)})
 	code := http.StatusOK
 	if a.End == shuntcall.Served {
 		r.replyParts(w, q, a)
@@ -221,6 +227,12 @@
 	r.logEnd(q, a.End, code, a.Attempts, a.Missing, "", a.Reason)
 }
 
+// returned says whether the caller has probably been refused before: it then has
+// less time left than the route gives it.
+func (r *Router) returned(q request) bool {
+	return q.route.Timeout > 0 && q.deadline.Sub(q.start) < q.route.Timeout-returnedMargin
+}
+
 func (r *Router) replyParts(w http.ResponseWriter, q request, a shuntcall.Answer) {
 	bodies := make([][]byte, len(a.Parts))
 	signatures := make([]string, len(a.Parts))
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -74,6 +74,7 @@
 	pool     *shuntupstream.Pool
 	board    *shuntbalance.Board
 	cold     *shuntbalance.ColdGate
+	throttle *shuntbalance.Throttle
 	caller   *shuntcall.Caller
 	random   *shuntrandom.Source
 	metrics  *frontMetrics
@@ -85,12 +86,13 @@
 func New(c Config) *Router {
 	s := c.Settings
 	r := &Router{
-		config:  c,
-		random:  shuntrandom.New(0),
-		pool:    shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
-		board:   shuntbalance.NewBoard(shuntbalance.BoardConfig{Zone: s.Zone, Region: s.Region}),
-		cold:    shuntbalance.NewColdGate(),
-		metrics: newFrontMetrics(c.Metrics),
+		config:   c,
+		random:   shuntrandom.New(0),
+		pool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
+		board:    shuntbalance.NewBoard(shuntbalance.BoardConfig{Zone: s.Zone, Region: s.Region}),
+		cold:     shuntbalance.NewColdGate(),
+		throttle: shuntbalance.NewThrottle(),
+		metrics:  newFrontMetrics(c.Metrics),
 	}
 	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
 	r.node = shuntmember.NewNode(shuntmember.Config{
@@ -110,6 +112,7 @@
 			Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Share: r.node.Share,
 		}),
 		ColdBurst: func(v shuntroute.Service) float64 { return v.ColdRate*s.ColdFactor + s.ColdSlack },
+		Throttle:  r.throttle,
 		Metrics:   shuntcall.NewMetrics(c.Metrics),
 		Guard:     guard,
 		Witness:   shuntguard.NewWitness(),
@@ -152,6 +155,7 @@
 			r.pool.Sweep(now)
 			r.board.Prune(now)
 			r.cold.Prune(now)
+			r.throttle.Prune(now)
 		case <-ctx.Done():
 			return
 		}
