--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -128,6 +128,7 @@
 	ctx     context.Context
 	ends    chan attemptEnd
 	tried   []shuntbalance.Incarnation
+	started time.Time
 	open    int
 	asked   int
 	mayRun  int
@@ -140,7 +141,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.config.Budget.Request(in.Service.Name)
-	r := &call{caller: c, call: in, ctx: ctx, ends: make(chan attemptEnd, maxArrivals)}
+	r := &call{caller: c, call: in, ctx: ctx, started: time.Now(), ends: make(chan attemptEnd, maxArrivals)}
 	if !r.launch("First") {
 		return r.finish("no backend server can be asked")
 	}
@@ -271,7 +272,8 @@
 	r.open++
 	if why != "First" {
 		r.caller.config.Metrics.Extra.Inc()
-		klog.V(1).InfoS("Attempt", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", s.ID, "why", why, "asked", r.asked)
+		klog.InfoS("Further attempt", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", s.ID, "why", why, "asked", r.asked,
+			"after", time.Since(r.started).Milliseconds(), "revision", r.caller.config.View().Revision)
 	}
 	if !r.caller.config.Group.Go(func() { r.ends <- r.caller.attempt(r.ctx, r.call, s) }) {
 		r.open--
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -82,6 +82,13 @@
 			}
 		})
 	}
+	lost := fleet(6, equal)
+	lost[0].Serving, lost[3].Serving = false, false
+	for _, a := range seenBy(1, lost).Entries("a", "b") {
+		if i := int(a.Addr().As4()[3]) - 1; i%3 != 1 {
+			t.Errorf("VM %d is named, outside of the bound region", i)
+		}
+	}
 	for _, a := range seenBy(0, loaded(0)).Entries("b") {
 		if i := int(a.Addr().As4()[3]) - 1; i >= 12 {
 			t.Errorf("small VM %d is an entry", i)
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -198,11 +198,13 @@
 
 func weight(a netip.AddrPort, name string) uint64 { return xxhash.Sum64String(name + " " + a.String()) }
 
-// Entries returns the VMs that callers in the region are sent to: those of the
-// region, else those of all regions. It may be empty.
-func (s *Snapshot) Entries(region string) []netip.AddrPort {
-	if near := s.addresses(region); len(near) > 0 {
-		return near
+// Entries returns the VMs that callers are sent to: those of the first of the
+// regions that has any, else those of all regions. It may be empty.
+func (s *Snapshot) Entries(regions ...string) []netip.AddrPort {
+	for _, r := range regions {
+		if near := s.addresses(r); len(near) > 0 {
+			return near
+		}
 	}
 	var all []netip.AddrPort
 	for _, r := range slices.Sorted(maps.Keys(s.regions)) {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -198,10 +198,16 @@
 	r.node.Update(func(m *shuntmember.Roster) { m.SetLeaving() })
 }
 
-// Entries returns the VMs that callers in the region are to connect to.
-func (r *Router) Entries(region string) []netip.Addr {
+// Entries returns the VMs that callers in the region are to connect to for the
+// host: those of the region, else those of the regions that the host's routes
+// are bound to, else all.
+func (r *Router) Entries(host, region string) []netip.Addr {
+	regions := []string{region}
+	if t := r.follower.View().Table; t != nil {
+		regions = append(regions, t.Regions(host)...)
+	}
 	var out []netip.Addr
-	for _, a := range r.node.Snapshot().Entries(region) {
+	for _, a := range r.node.Snapshot().Entries(regions...) {
 		out = append(out, a.Addr())
 	}
 	if len(out) == 0 && !r.leaving.Load() {
