--- a/shuntbalance/balance_test.go
+++ b/shuntbalance/balance_test.go
@@ -95,20 +95,7 @@
 			for range vms {
 				budgets = append(budgets, NewRetryBudget(RetryBudgetConfig{Ratio: ratio, Slack: slack, Window: window, Share: func() float64 { return 1.0 / vms }}))
 			}
-			var extras []time.Time
-			var requests []time.Time
-			for range seconds {
-				for i, b := range budgets {
-					for range loads[i] {
-						b.Request("s")
-						requests = append(requests, time.Now())
-						for b.Take("s", 0) {
-							extras = append(extras, time.Now())
-						}
-					}
-				}
-				time.Sleep(time.Second)
-			}
+			requests, extras := spend(budgets, loads, seconds)
 			for _, end := range extras {
 				n, m := within(extras, end, window), within(requests, end, window)
 				if float64(n) > ratio*float64(m)+slack {
@@ -119,6 +106,24 @@
 	})
 }
 
+// spend lets each budget see its load of requests each second, and take all the
+// extra attempts that it gets.
+func spend(budgets []*RetryBudget, loads []int, seconds int) (requests, extras []time.Time) {
+	for range seconds {
+		for i, b := range budgets {
+			for range loads[i] {
+				b.Request("s")
+				requests = append(requests, time.Now())
+				for b.Take("s", 0) {
+					extras = append(extras, time.Now())
+				}
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	return requests, extras
+}
+
 func within(times []time.Time, end time.Time, window time.Duration) int {
 	n := 0
 	for _, v := range times {
--- a/shuntmember/roster.go
+++ b/shuntmember/roster.go
@@ -67,7 +67,7 @@
 // Beat counts one more sign of life of this VM.
 func (r *Roster) Beat() { r.self.Count++ }
 
-// SetServing, SetLeaving and SetRevision say what this VM reports of itself.
+// SetServing says whether this VM knows the routes.
 func (r *Roster) SetServing(serving bool) { r.self.Serving = serving }
 
 // SetLeaving says that this VM is about to end.
--- a/shuntupstream/exchange_test.go
+++ b/shuntupstream/exchange_test.go
@@ -103,18 +103,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := serve(t, func(conn net.Conn, next func() *http.Request) {
-				if next() == nil {
-					return
-				}
-				_, _ = io.WriteString(conn, c.send)
-				if !c.again {
-					return
-				}
-				if r := next(); r != nil {
-					_, _ = io.WriteString(conn, reply(r.Header.Get("Id"), "again"))
-				}
-			})
+			s := serve(t, func(conn net.Conn, next func() *http.Request) { answerTwice(conn, next, c.send, c.again) })
 			got, p := do(t, s, request("1"))
 			if got.Status != c.status || string(got.Reply.Body) != c.body {
 				t.Fatalf("got %v %q (%v); want %v %q", got.Status, got.Reply.Body, got.Err, c.status, c.body)
@@ -130,6 +119,21 @@
 	}
 }
 
+// answerTwice sends a prepared answer to the first request, and with again a
+// right one to the second.
+func answerTwice(conn net.Conn, next func() *http.Request, send string, again bool) {
+	if next() == nil {
+		return
+	}
+	_, _ = io.WriteString(conn, send)
+	if !again {
+		return
+	}
+	if r := next(); r != nil {
+		_, _ = io.WriteString(conn, reply(r.Header.Get("Id"), "again"))
+	}
+}
+
 // TestRequestUnchanged: method, target, host, headers and body reach the server
 // as the caller sent them, with what is left of the time.
 func TestRequestUnchanged(t *testing.T) {
