Bound heartbeats in size, hold silence against first VMs only, keep no connection without a share

Datagrams now tell of the first four VMs of each region and eight others; the others may be silent longer and are not named to callers before they are heard again.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -314,8 +314,9 @@
 	started := time.Now()
 	c.attempts.Add(1)
 	a := c.config.Board.Begin(s)
-	share := max(1, int(float64(in.Service.MaxConns)*(1-connReserve)*c.config.Fleet.Share()))
-	o := c.config.Pool.Do(ctx, shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: share}, in.Route.Idempotent, in.Request)
+	share := float64(in.Service.MaxConns) * (1 - connReserve) * c.config.Fleet.Share()
+	to := shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: max(1, int(share)), Once: share < 1}
+	o := c.config.Pool.Do(ctx, to, in.Route.Idempotent, in.Request)
 	c.config.Board.End(s, a, boardResult(o))
 	c.witness(in, s, o)
 	c.config.Metrics.attempt(o, time.Since(started))
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -136,7 +136,7 @@
 			}
 		}
 		r.Hear(near, now)
-		r.Expire(now)
+		r.Expire(r.Snapshot(heard, true).firsts(), now)
 		s := r.Snapshot(now, true)
 		if len(s.Entries(regionOf(self.Zone))) != entriesLeast {
 			t.Errorf("VM %d sees the entries %v", i, s.Entries(regionOf(self.Zone)))
@@ -228,14 +228,39 @@
 	r := NewRoster(reports[0], regionOf)
 	now := time.Now()
 	r.Hear(reports, now)
-	later := now.Add(aliveTime + time.Millisecond)
+	later := now.Add(r.firstLimit() + time.Millisecond)
 	r.Hear(reports, later)
-	r.Expire(later)
+	r.Expire(r.Snapshot(now, true).firsts(), later)
 	if got := r.Snapshot(later, true).Entries("a"); len(got) != 1 {
 		t.Errorf("entries %v; want this VM alone", got)
 	}
 }
 
+// TestDatagramSize: what a VM tells does not grow with the number of VMs, and the
+// first VMs of each region are always in it.
+func TestDatagramSize(t *testing.T) {
+	size := func(n int) int {
+		reports := fleet(n, equal)
+		r := NewRoster(reports[0], regionOf)
+		r.Hear(reports, time.Now())
+		firsts := r.Snapshot(time.Now(), true).firsts()
+		told := r.Reports(firsts, otherReports)
+		for _, f := range firsts {
+			found := false
+			for _, v := range told {
+				found = found || v.Address == f
+			}
+			if !found {
+				t.Errorf("%d VMs: %v is not told of", n, f)
+			}
+		}
+		return len(encodeDatagram(nil, told))
+	}
+	if small, large := size(60), size(870); large > small+small/10 {
+		t.Errorf("%d bytes at 60 VMs, %d at 870", small, large)
+	}
+}
+
 // TestDatagram: what is written is read again; anything else is an error, never
 // a panic.
 func TestDatagram(t *testing.T) {
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -20,7 +20,9 @@
 
 const (
 	// beatInterval is between datagrams of a VM.
-	beatInterval = 400 * time.Millisecond
+	beatInterval = 500 * time.Millisecond
+	// urgentPause is the least time between datagrams sent at once on a change.
+	urgentPause = 100 * time.Millisecond
 	// zoneFanout is how many live VMs of its zone get each datagram of a VM.
 	zoneFanout = 2
 	// farEvery is after how many beats the first VMs of a region also tell one
@@ -30,8 +32,9 @@
 	// seed, and one anywhere; with few VMs known it does so with farEvery.
 	searchEvery = 8
 	fewKnown    = 3
-	// mostReports bounds the reports of one datagram.
-	mostReports = 60
+	// otherReports is how many VMs a datagram tells of beside the first ones of
+	// each region: its size does not grow with the number of VMs.
+	otherReports = 8
 	// mostSuspicions bounds the suspicions of one datagram.
 	mostSuspicions = 6
 	// readBuffer holds one datagram.
@@ -127,6 +130,7 @@
 func (n *Node) control(ctx context.Context) {
 	r := n.newRoster()
 	started := time.Now()
+	var told time.Time
 	t := time.NewTicker(beatInterval)
 	defer t.Stop()
 	for beats := 0; ; {
@@ -134,14 +138,15 @@
 		case u := <-n.updates:
 			before := r.Self()
 			u(r)
-			if n.urgent(before, r.Self()) {
+			if n.urgent(before, r.Self()) && time.Since(told) > urgentPause {
+				told = time.Now()
 				r.Beat()
 				n.send(r, beats, true)
 			}
 		case now := <-t.C:
 			beats++
 			r.Beat()
-			r.Expire(now)
+			r.Expire(n.Snapshot().firsts(), now)
 			n.send(r, beats, false)
 		case <-ctx.Done():
 			return
@@ -160,7 +165,7 @@
 // send tells some VMs what this one has heard. Most datagrams stay in the zone:
 // bytes between regions are dear.
 func (n *Node) send(r *Roster, beats int, urgent bool) {
-	b := encodeDatagram(n.config.Guard.Export(mostSuspicions), r.Reports(n.Snapshot().firsts(), mostReports))
+	b := encodeDatagram(n.config.Guard.Export(mostSuspicions), r.Reports(n.Snapshot().firsts(), otherReports))
 	for _, a := range n.targets(r, beats, urgent) {
 		if a == n.config.Address {
 			continue
--- a/shuntmember/roster.go
+++ b/shuntmember/roster.go
@@ -2,14 +2,22 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 )
 
 const (
-	// aliveTime is how long after its count last grew a VM is held for alive.
+	// aliveTime is how long after its count last grew one of the first VMs of a
+	// region is held for alive, whom each datagram tells of: news takes
+	// aliveStep longer for each VM known, up to aliveMost in all.
 	aliveTime = 2500 * time.Millisecond
+	aliveStep = 25 * time.Millisecond
+	aliveMost = 5 * time.Second
+	// aliveMore is what the others have for each VM known: they are told of in
+	// turn, and not named to callers before they are heard again.
+	aliveMore = 200 * time.Millisecond
 	// knownTime is how long a VM counts for the shares of common limits after it
 	// was last heard: VMs that lose sight of each other keep their shares.
 	knownTime = 30 * time.Second
@@ -114,10 +122,20 @@
 	}
 }
 
-// Expire notes VMs that have fallen silent and forgets those of long ago.
-func (r *Roster) Expire(now time.Time) {
+// firstLimit is how long one of the first VMs of a region may be silent.
+func (r *Roster) firstLimit() time.Duration {
+	return min(aliveMost, aliveTime+time.Duration(len(r.members))*aliveStep)
+}
+
+// Expire notes VMs that have fallen silent and forgets those of long ago. first
+// are the first VMs of each region.
+func (r *Roster) Expire(first []netip.AddrPort, now time.Time) {
 	for a, m := range r.members {
-		if m.alive && now.Sub(m.heard) > aliveTime {
+		limit := r.firstLimit()
+		if !slices.Contains(first, a) {
+			limit += time.Duration(len(r.members)) * aliveMore
+		}
+		if m.alive && now.Sub(m.heard) > limit {
 			m.alive = false
 			klog.InfoS("VM silent", "vm", a, "zone", m.report.Zone, "heard", now.Sub(m.heard).Milliseconds())
 		}
@@ -128,12 +146,13 @@
 }
 
 // Reports returns this VM's own report, those of the first VMs of each region,
-// whom all must know well, and some others that are alive, up to most.
-func (r *Roster) Reports(first []netip.AddrPort, most int) []Report {
+// whom all must know well, and up to others more of those that are alive. The
+// order of the others is that of a map: another one each time.
+func (r *Roster) Reports(first []netip.AddrPort, others int) []Report {
 	out := []Report{r.self}
 	told := map[netip.AddrPort]bool{r.self.Address: true}
 	add := func(a netip.AddrPort) {
-		if m := r.members[a]; m != nil && m.alive && !told[a] && len(out) < most {
+		if m := r.members[a]; m != nil && m.alive && !told[a] {
 			told[a] = true
 			out = append(out, m.report)
 		}
@@ -141,7 +160,11 @@
 	for _, a := range first {
 		add(a)
 	}
+	most := len(out) + others
 	for a := range r.members {
+		if len(out) >= most {
+			break
+		}
 		add(a)
 	}
 	return out
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -61,9 +61,13 @@
 			s.regions[region] = append(s.regions[region], m.report)
 		}
 	}
+	fresh := func(a netip.AddrPort) bool {
+		m := r.members[a]
+		return m == nil || now.Sub(m.heard) <= r.firstLimit()
+	}
 	for _, reports := range s.regions {
 		r.sort(reports)
-		for _, e := range entriesOf(reports) {
+		for _, e := range entriesOf(reports, fresh) {
 			s.entries[e.Address] = true
 		}
 	}
@@ -71,7 +75,7 @@
 	for _, reports := range known {
 		r.sort(reports)
 		total += len(reports)
-		entries += len(entriesOf(reports))
+		entries += len(entriesOf(reports, always))
 	}
 	s.share = s.shareOf(total, entries, settled)
 	s.reads = s.mustRead(own)
@@ -85,10 +89,13 @@
 	})
 }
 
+func always(netip.AddrPort) bool { return true }
+
 // entriesOf returns the VMs that callers of a region are sent to: as few as
 // carry its load, since each then sees more of every backend server, and all
-// together hold fewer connections. reports are sorted by choice.
-func entriesOf(reports []Report) []Report {
+// together hold fewer connections. reports are sorted by choice; VMs that have
+// not been heard lately are left out.
+func entriesOf(reports []Report, fresh func(netip.AddrPort) bool) []Report {
 	load := 0.0
 	for _, r := range reports {
 		load += float64(r.Load)
@@ -99,7 +106,7 @@
 		if len(out) >= entriesLeast && carried >= load {
 			break
 		}
-		if r.Serving {
+		if r.Serving && fresh(r.Address) {
 			out = append(out, r)
 			carried += float64(r.Capacity) / 1000 * attemptsPerCore
 		}
--- a/shuntupstream/exchange_test.go
+++ b/shuntupstream/exchange_test.go
@@ -240,6 +240,25 @@
 	}
 }
 
+// TestOnce: a VM with less than one connection to a server keeps none.
+func TestOnce(t *testing.T) {
+	s := serve(t, func(conn net.Conn, next func() *http.Request) {
+		for r := next(); r != nil; r = next() {
+			_, _ = io.WriteString(conn, reply(r.Header.Get("Id"), "body"))
+		}
+	})
+	p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}})
+	for i := range 3 {
+		id := fmt.Sprint(i)
+		if got := p.Do(t.Context(), Server{ID: "i", Address: s.address, MaxConns: 1, Once: true}, true, request(id)); got.Status != Answered {
+			t.Fatalf("got %v %v", got.Status, got.Err)
+		}
+	}
+	if n := s.conns.Load(); n != 3 || p.hosts["i "+s.address].open != 0 {
+		t.Errorf("%d connections, %d open", n, p.hosts["i "+s.address].open)
+	}
+}
+
 // TestClosedIdleConnection: a connection that the server has closed meanwhile is
 // not used, even within its idle timeout.
 func TestClosedIdleConnection(t *testing.T) {
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -66,6 +66,9 @@
 	Address string
 	// MaxConns is how many connections this VM may have to the server.
 	MaxConns int
+	// Once closes connections after one exchange: many VMs may each use one now
+	// and then, but not keep it.
+	Once bool
 }
 
 // Do sends r to the server. idempotent requests may use any live connection.
@@ -142,7 +145,7 @@
 	key := s.ID + " " + s.Address
 	p.mu.Lock()
 	h := p.hosts[key]
-	keep := !c.spent && h != nil
+	keep := !c.spent && !s.Once && h != nil
 	if keep {
 		c.idleSince = time.Now()
 		h.idle = append(h.idle, c)
