--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -39,11 +39,13 @@
 	entries map[netip.AddrPort]bool
 	share   float64
 	reads   bool
+	// settled is false while the process has just started.
+	settled bool
 }
 
 // Snapshot returns the immutable view that traffic goes by.
 func (r *Roster) Snapshot(now time.Time, settled bool) *Snapshot {
-	s := &Snapshot{self: r.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}}
+	s := &Snapshot{self: r.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}, settled: settled}
 	// known also holds VMs that have fallen silent not long ago: they may be
 	// alive, out of sight, and use their share.
 	known := map[string][]Report{}
@@ -184,8 +186,9 @@
 // 0 to 1.
 func (s *Snapshot) Share() float64 { return s.share }
 
-// Entry says whether callers are sent to this VM.
-func (s *Snapshot) Entry() bool { return s.entries[s.self] }
+// Entry says whether callers are sent to this VM. A VM that has just started
+// may know no other one, and does not count.
+func (s *Snapshot) Entry() bool { return s.settled && s.entries[s.self] }
 
 // InCharge says whether this VM is the one among the entries that looks after
 // the thing of that name: all that see the same VMs agree on one.
