--- a/shuntbalance/board.go
+++ b/shuntbalance/board.go
@@ -34,7 +34,7 @@
 
 // BoardConfig is what a Board is made of.
 type BoardConfig struct {
-	Zone   string
+	// Region is that of this VM.
 	Region string
 }
 
@@ -189,8 +189,6 @@
 type Choice struct {
 	// Tried are servers that are not to be chosen again.
 	Tried []Incarnation
-	// Usable, when not nil, has the last word on a server.
-	Usable func(shuntroute.Server) bool
 }
 
 func (c Choice) tried(s shuntroute.Server) bool {
@@ -204,7 +202,7 @@
 
 // Choose returns the server from which an answer is expected first. Servers
 // that look bad are a last choice, never none: all of a shard may look bad. It
-// returns false only where every server is tried, gone or not usable.
+// returns false only where every server is tried or gone.
 func (b *Board) Choose(servers []shuntroute.Server, c Choice) (shuntroute.Server, bool) {
 	now := time.Now()
 	b.mu.Lock()
@@ -220,7 +218,7 @@
 			continue
 		}
 		score := b.score(s, r, now)
-		if score < bestScore && (c.Usable == nil || c.Usable(s)) {
+		if score < bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -262,13 +260,6 @@
 	return expected
 }
 
-// Latency returns the average time of s.
-func (b *Board) Latency(s shuntroute.Server) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.record(s).latency
-}
-
 // Down says whether s could not be reached lately.
 func (b *Board) Down(s shuntroute.Server) bool {
 	b.mu.Lock()
--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -157,7 +157,7 @@
 			// Other VMs read for this one.
 			f.noteRead(ctx, errNotReading)
 			failures = failedWatches
-			pause(ctx, peerInterval)
+			shuntgroup.Pause(ctx, peerInterval)
 			continue
 		}
 		err := f.step(ctx, failures >= failedWatches)
@@ -165,12 +165,12 @@
 		switch {
 		case err == nil:
 			failures = 0
-			pause(ctx, watchPause)
+			shuntgroup.Pause(ctx, watchPause)
 		case errors.Is(err, ErrCompacted):
 			failures = failedWatches
 		default:
 			failures++
-			pause(ctx, retryDelay/2+f.config.Random.Duration(retryDelay))
+			shuntgroup.Pause(ctx, retryDelay/2+f.config.Random.Duration(retryDelay))
 		}
 	}
 }
@@ -214,7 +214,7 @@
 // read the platform.
 func (f *Follower) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, peerInterval)
+		shuntgroup.Pause(ctx, peerInterval)
 		if f.reads.Load() {
 			continue
 		}
@@ -231,12 +231,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/shuntcatalog/follow_test.go
+++ b/shuntcatalog/follow_test.go
@@ -56,7 +56,7 @@
 	case now.Revision > after:
 		return now, nil
 	}
-	pause(ctx, wait)
+	shuntgroup.Pause(ctx, wait)
 	return State{Revision: after}, ctx.Err()
 }
 
--- a/shuntdaemon/daemon.go
+++ b/shuntdaemon/daemon.go
@@ -365,7 +365,7 @@
 func (d *Daemon) Shutdown(ctx context.Context) {
 	klog.InfoS("VM is leaving", "vm", d.Name())
 	d.runner.Leave()
-	pause(ctx, shuntentry.MaxAge+shuntentry.LeaveMargin)
+	shuntgroup.Pause(ctx, shuntentry.MaxAge+shuntentry.LeaveMargin)
 	d.front.Refuse()
 	d.waitFor(ctx, func() bool { return d.front.Load() == 0 })
 	bounded, cancel := context.WithTimeout(ctx, handoverPatience)
@@ -378,7 +378,7 @@
 
 func (d *Daemon) waitFor(ctx context.Context, done func() bool) {
 	for !done() && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		shuntgroup.Pause(ctx, drainPoll)
 	}
 }
 
@@ -399,12 +399,3 @@
 	d.owner.Wait()
 	d.group.Close()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/shuntfleet/sync.go
+++ b/shuntfleet/sync.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntplatform"
 	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
@@ -77,7 +78,7 @@
 		s.config.Metrics.PlatformErrors.Inc()
 		klog.V(1).InfoS("Platform can't be read", "reason", err.Error(), "nextTry", wait)
 		// Full jitter: VMs that lost the platform together come back apart.
-		pause(ctx, s.config.Random.Duration(wait))
+		shuntgroup.Pause(ctx, s.config.Random.Duration(wait))
 		wait = min(2*wait, backoffLimit)
 	}
 }
@@ -97,7 +98,7 @@
 		if !s.config.Runner.View().hearsPeers() {
 			every = pollVMsAlone
 		}
-		pause(ctx, every/2+s.config.Random.Duration(every/2))
+		shuntgroup.Pause(ctx, every/2+s.config.Random.Duration(every/2))
 	}
 }
 
@@ -123,7 +124,7 @@
 			return
 		}
 		klog.InfoS("No configuration yet", "reason", err.Error(), "nextTry", wait)
-		pause(ctx, s.config.Random.Duration(wait))
+		shuntgroup.Pause(ctx, s.config.Random.Duration(wait))
 		wait = min(2*wait, time.Second)
 	}
 }
@@ -149,7 +150,7 @@
 	if next < revision {
 		// An older answer than the one before: the reader behind it is stale.
 		// What it names as new is older than what is known, and is ignored.
-		pause(ctx, backoffFirst)
+		shuntgroup.Pause(ctx, backoffFirst)
 		return revision, nil
 	}
 	return next, s.read(ctx, keys)
@@ -216,7 +217,7 @@
 		}
 		s.config.Metrics.StaleReads.Inc()
 		klog.V(1).InfoS("Platform gave an older document than it announced", "key", k.Key, "announced", k.Version, "got", d.Version)
-		pause(ctx, pollPause<<n)
+		shuntgroup.Pause(ctx, pollPause<<n)
 	}
 }
 
@@ -237,7 +238,7 @@
 	if err := s.readAll(ctx, mine); err != nil {
 		return err
 	}
-	for end := time.Now().Add(shareWait); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, pollPause) {
+	for end := time.Now().Add(shareWait); time.Now().Before(end) && ctx.Err() == nil; shuntgroup.Pause(ctx, pollPause) {
 		if len(s.missing(keys)) == 0 {
 			return nil
 		}
@@ -247,16 +248,7 @@
 			return err
 		}
 		left = left[1:]
-		pause(ctx, s.config.Random.Duration(2*sharePause))
+		shuntgroup.Pause(ctx, s.config.Random.Duration(2*sharePause))
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/shuntgroup/group.go
+++ b/shuntgroup/group.go
@@ -1,7 +1,11 @@
 // Package shuntgroup starts goroutines whose end somebody waits for.
 package shuntgroup
 
-import "sync"
+import (
+	"context"
+	"sync"
+	"time"
+)
 
 // Group is a set of goroutines. Unlike with a sync.WaitGroup, goroutines may be
 // started at any time, also while another one waits for the end: calls from
@@ -32,3 +36,13 @@
 	g.mu.Unlock()
 	g.wait.Wait()
 }
+
+// Pause waits for d, or for the end of ctx if that is sooner.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/shuntowner/httpconn.go
+++ b/shuntowner/httpconn.go
@@ -11,10 +11,10 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntsocket"
 )
 
 // Path and headers of the backend servers' HTTP interface. The headers of a
@@ -85,24 +85,7 @@
 // Alive implements Conn. It looks at the socket without waiting: bytes or an
 // end on an idle connection both mean that it is of no further use.
 func (c *httpConn) Alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.conn.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-	})
-	return err == nil && alive
+	return c.reader.Buffered() == 0 && shuntsocket.Quiet(c.conn.Conn)
 }
 
 // Close implements Conn.
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -89,12 +89,13 @@
 		config:   c,
 		random:   shuntrandom.New(0),
 		pool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
-		board:    shuntbalance.NewBoard(shuntbalance.BoardConfig{Zone: s.Zone, Region: s.Region}),
+		board:    shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: s.Region}),
 		cold:     shuntbalance.NewColdGate(),
 		throttle: shuntbalance.NewThrottle(),
 		metrics:  newFrontMetrics(c.Metrics),
 	}
 	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
+	registerGauges(c.Metrics, r)
 	r.node = shuntmember.NewNode(shuntmember.Config{
 		Address: s.Peer, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf: func(zone string) string { return s.Regions[zone] },
--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -9,12 +9,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntsocket"
 )
 
 const (
@@ -48,24 +48,7 @@
 // alive looks at the socket without waiting: bytes or an end on an idle
 // connection both mean that it is of no further use.
 func (c *conn) alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-	})
-	return err == nil && alive
+	return c.reader.Buffered() == 0 && shuntsocket.Quiet(c.net)
 }
 
 // exchange sends r and reads its reply. When ctx ends, the connection is closed
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -182,18 +182,6 @@
 	closeAll(stale)
 }
 
-// Close closes the idle connections to one server, as when it fell silent.
-func (p *Pool) Close(s Server) {
-	p.mu.Lock()
-	var stale []*conn
-	if h := p.hosts[s.ID+" "+s.Address]; h != nil {
-		stale, h.idle = h.idle, nil
-		h.open -= len(stale)
-	}
-	p.mu.Unlock()
-	closeAll(stale)
-}
-
 // Warm opens a connection to the server if there is none, so that the first
 // requests do not wait for one.
 func (p *Pool) Warm(ctx context.Context, s Server) error {
