Pass on only server failures that say what they are

Found by reading: a success without a signature was passed on as one; a server's 4xx was tried again at another; a 503 of a server that had run the request reached the caller, to whom it says that the request has not run. Each has a case in TestForward that failed first.

--- a/shuntcall/call_test.go
+++ b/shuntcall/call_test.go
@@ -37,6 +37,7 @@
 	declines  int
 	code      int
 	signature string
+	unsigned  bool
 	region    string
 	cold      bool
 }
@@ -163,8 +164,12 @@
 	if signature == "" {
 		signature = address
 	}
+	header := "Signed: " + signature + "\r\n"
+	if b.unsigned {
+		header = ""
+	}
 	body := fmt.Sprintf("%-16.16s", address)
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nSigned: %s\r\nContent-Length: %d\r\n\r\n%s", code, req.Header.Get("Id"), signature, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", code, req.Header.Get("Id"), header, len(body), body)
 	return err == nil
 }
 
@@ -208,6 +213,9 @@
 		"broken, then served":                   {servers: two(behavior{broken: true, after: time.Millisecond}, behavior{after: fast, region: "there"}), end: Served, code: 200, arrivals: 2, within: goal},
 		"mute, then hedged":                     {servers: two(behavior{mute: true}, behavior{after: fast, region: "there"}), end: Served, code: 200, arrivals: 2, within: goal},
 		"mute, one attempt allowed":             {servers: two(behavior{mute: true}, behavior{mute: true}), attempts: 1, end: Expired, arrivals: 1, within: deadline},
+		"an answer without a signature":         {servers: two(behavior{unsigned: true}, behavior{unsigned: true}), end: Faulted, arrivals: 2, within: goal},
+		"a server's refusal for good":           {servers: two(behavior{code: 404}, behavior{code: 404}), end: Faulted, code: 404, arrivals: 1, within: fast},
+		"a failure that reads like a promise":   {servers: two(behavior{code: 503}, behavior{code: 503}), once: true, end: Faulted, arrivals: 1, within: fast},
 		"both fail":                             {servers: two(behavior{code: 500}, behavior{code: 500}), end: Faulted, code: 500, arrivals: 2, within: goal},
 		"all decline":                           {servers: two(behavior{declines: -1}, behavior{declines: -1}), end: Refused, arrivals: maxArrivals, within: deadline},
 		"dark: nothing was sent":                {servers: two(behavior{dark: true}, behavior{dark: true}), once: true, end: Refused, arrivals: 0, within: 2 * deadline},
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -201,6 +202,9 @@
 	}
 	klog.InfoS("Attempt failed", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", e.server.ID,
 		"status", e.outcome.Status, "code", e.outcome.Reply.Code, "reason", errorText(e.outcome.Err), "after", time.Since(e.started).Milliseconds(), "asked", r.asked)
+	if e.outcome.Status == shuntupstream.Answered && final(e.outcome.Reply) {
+		return r.finish("the server's answer is final"), true
+	}
 	if r.open > 0 && e.outcome.Status.MayHaveRun() {
 		return Result{}, false
 	}
@@ -219,6 +223,21 @@
 	return p.Code >= 200 && p.Code < 300 && p.Header.Get(r.caller.config.Headers.Signature) != ""
 }
 
+// final says whether another server would answer the same: the fault lies with
+// the request.
+func final(p shuntupstream.Reply) bool { return p.Code >= 300 && p.Code < 500 }
+
+// passable says whether a server's failure may be passed on to the caller. A
+// success without a signature is not the server's answer, and some statuses
+// promise callers that the request has not run, which the server did not say.
+func passable(p shuntupstream.Reply) bool {
+	switch p.Code {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+	return p.Code >= 300
+}
+
 // mayLaunch says whether one more attempt keeps the request's limits.
 func (r *call) mayLaunch() bool {
 	if r.call.Single && r.open+r.mayRun > 0 {
@@ -354,7 +373,7 @@
 	default:
 		res.End = Faulted
 	}
-	if r.hasLast && r.last.outcome.Status == shuntupstream.Answered {
+	if r.hasLast && r.last.outcome.Status == shuntupstream.Answered && passable(r.last.outcome.Reply) {
 		res.Reply, res.HasReply = r.last.outcome.Reply, true
 	}
 	return res
