List a slow platform page by page; add nothing to a server's answer

Cause: a listing had one second in all; at 400 ms a page a VM that started then never learned of the routes (new case in TestFollow, failed first).

--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// listTimeout bounds one listing of the platform.
-	listTimeout = time.Second
+	// listTimeout bounds one listing of the platform, all pages together; the
+	// source bounds each call.
+	listTimeout = 10 * time.Second
 	// answerSlack is added to the wait of a watch: a connection that has gone
 	// silent is found after it.
 	answerSlack = 500 * time.Millisecond
--- a/shuntcatalog/follow_test.go
+++ b/shuntcatalog/follow_test.go
@@ -24,6 +24,8 @@
 	lists    int
 	watches  int
 	silent   bool
+	// slow is how long a listing takes.
+	slow time.Duration
 }
 
 func (s *testSource) set(u func(*testSource)) {
@@ -32,11 +34,16 @@
 	u(s)
 }
 
-func (s *testSource) List(context.Context) (State, error) {
+func (s *testSource) List(ctx context.Context) (State, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.lists++
-	return s.state, s.err
+	state, err, slow := s.state, s.err, s.slow
+	s.mu.Unlock()
+	shuntgroup.Pause(ctx, slow)
+	if ctx.Err() != nil {
+		return State{}, ctx.Err()
+	}
+	return state, err
 }
 
 func (s *testSource) Watch(ctx context.Context, after int64, wait time.Duration) (State, error) {
@@ -134,6 +141,7 @@
 			s.set(func(s *testSource) { s.silent = true })
 			p.set(Delta{State: v(5, 3)}, true)
 		}, 3},
+		"a slow listing of many pages": {func(s *testSource, _ *testPeers) { s.slow = 4 * time.Second }, nil, 1},
 		"others read": {func(_ *testSource, p *testPeers) { p.reads = false }, func(_ *testSource, p *testPeers) {
 			p.set(Delta{State: v(5, 3)}, false)
 		}, 3},
--- a/shuntrouter/front.go
+++ b/shuntrouter/front.go
@@ -50,6 +50,9 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
 }
 
+// addedHeaders are those that net/http would add to an answer without them.
+var addedHeaders = []string{"Date", "Content-Type"}
+
 // splits counts the requests of divided routes, so that each share gets its
 // part evenly.
 type splits struct {
@@ -206,8 +209,10 @@
 	if r.leaving.Load() {
 		h.Set("Connection", "close")
 	}
-	if _, ok := h["Date"]; !ok {
-		h["Date"] = nil
+	for _, name := range addedHeaders {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
 	}
 	h.Set("Content-Length", strconv.Itoa(len(res.Reply.Body)))
 	w.WriteHeader(res.Reply.Code)
--- a/shuntrouter/front_test.go
+++ b/shuntrouter/front_test.go
@@ -75,6 +75,7 @@
 		h.Set("Id", r.Header.Get("Id"))
 		h.Set("Signed", r.Header.Get("For"))
 		h.Set("Kept", "yes")
+		h["Content-Type"] = nil
 		if r.URL.Path == "/one/error" {
 			w.WriteHeader(http.StatusTeapot)
 		}
@@ -195,7 +196,7 @@
 	if got.Method != http.MethodPost || got.RequestURI != "/one/x?q=%2F" || got.Host != "h" || got.Header.Get("Own") != "passed on" || got.Header.Get("Hop") != "" {
 		t.Errorf("the server got %s %s %s %v", got.Method, got.RequestURI, got.Host, got.Header)
 	}
-	if resp.Header.Get("Kept") != "yes" || resp.Header.Get("Signed") != "i-a" {
+	if resp.Header.Get("Content-Type") != "" || resp.Header.Get("Kept") != "yes" || resp.Header.Get("Signed") != "i-a" {
 		t.Errorf("the caller got %v", resp.Header)
 	}
 	resp, _ = f.ask(t, http.MethodGet, "/all/x", "")
