--- a/cmd/mulberryshuntd/main.go
+++ b/cmd/mulberryshuntd/main.go
@@ -5,13 +5,13 @@
 import (
 	"os"
 
-	"mulberryshunt.example/mulberryshunt/platform"
+	"mulberryshunt.example/mulberryshunt/platform/shuntadapter"
 	"mulberryshunt.example/mulberryshunt/shuntcommand"
 )
 
 func main() {
 	if len(os.Args) == 2 && os.Args[1] == "platform" {
-		os.Exit(platform.Run(os.Stdout))
+		os.Exit(shuntadapter.Run(os.Stdout))
 	}
 	os.Exit(shuntcommand.Daemon(os.Args[1:], os.Stderr))
 }
