--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -26,7 +26,7 @@
 	// costs few calls.
 	watchPause = 400 * time.Millisecond
 	// peerInterval is how often a VM looks whether another one knows more.
-	peerInterval = 100 * time.Millisecond
+	peerInterval = 200 * time.Millisecond
 	// expireInterval is how often lapsed servers are looked at.
 	expireInterval = 100 * time.Millisecond
 	// failedWatches is after how many failures in a row the state is listed anew.
