--- a/shuntbalance/throttle.go
+++ b/shuntbalance/throttle.go
@@ -186,14 +186,6 @@
 	}
 }
 
-// Overloaded says whether queries to the index are being refused: extra attempts
-// would make it worse.
-func (t *Throttle) Overloaded(index string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.at(index, time.Now()).rate < throttleFree
-}
-
 // Prune forgets indexes that admit everything.
 func (t *Throttle) Prune(now time.Time) {
 	t.mu.Lock()
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -74,7 +74,8 @@
 	ends := make(chan shardEnd, len(q.Route.Shards))
 	for _, shard := range q.Route.Shards {
 		if !c.config.Group.Go(func() { ends <- shardEnd{shard, c.askShard(ctx, q, shard)} }) {
-			return Answer{End: Refused, Missing: len(q.Route.Shards), Reason: "the process is ending"}
+			// Shards before this one may have been asked.
+			return Answer{End: Faulted, Missing: len(q.Route.Shards), Reason: "the process is ending"}
 		}
 	}
 	g := gathering{query: q, need: needed(q.Route), open: len(q.Route.Shards)}
@@ -111,14 +112,6 @@
 	})
 }
 
-// hedgeAfter returns when a shard's second server is tried; 0 means never.
-func (c *Caller) hedgeAfter(q Query) time.Duration {
-	if c.config.Throttle.Overloaded(q.index()) {
-		return 0
-	}
-	return max(time.Millisecond, time.Until(q.Start.Add(time.Duration(hedgeFraction*float64(q.Route.Goal)))))
-}
-
 // needed returns the least number of shards of an answer.
 func needed(r *shuntroute.Route) int {
 	return max(1, int(math.Ceil(r.MinCoverage*float64(len(r.Shards))-1e-9)))
