Clean up after reading the whole change: one log set-up, one host entry, one expiry check

The command line's setLog was a second copy of shuntlog.Setup; it now calls it. Its error lines come once instead of once for each severity below, since Setup writes to one output. The pool made its entry for a server, that entry's key and the check of an idle connection's age in two places each.

--- a/shuntcommand/command.go
+++ b/shuntcommand/command.go
@@ -13,6 +13,8 @@
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntlog"
 )
 
 // command is one command of the command line.
@@ -136,16 +138,10 @@
 // setLog sends the log to w. Without verbosity the commands log nothing: their
 // output is the answer.
 func setLog(verbosity int, w io.Writer) {
-	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(fs)
-	_ = fs.Set("logtostderr", "false")
-	_ = fs.Set("alsologtostderr", "false")
-	_ = fs.Set("stderrthreshold", "FATAL")
-	_ = fs.Set("v", fmt.Sprint(verbosity))
 	if verbosity == 0 {
 		w = io.Discard
 	}
-	klog.SetOutput(w)
+	shuntlog.Setup(w, verbosity)
 }
 
 func printJSON(out io.Writer, v any) error {
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -71,6 +71,8 @@
 	Once bool
 }
 
+func (s Server) key() string { return s.ID + " " + s.Address }
+
 // Do sends r to the server. idempotent requests may use any live connection.
 func (p *Pool) Do(ctx context.Context, s Server, idempotent bool, r Request) Outcome {
 	c, status, err := p.take(ctx, s, idempotent)
@@ -82,15 +84,20 @@
 	return out
 }
 
-func (p *Pool) take(ctx context.Context, s Server, idempotent bool) (*conn, Status, error) {
-	key := s.ID + " " + s.Address
-	now := time.Now()
-	p.mu.Lock()
-	h := p.hosts[key]
+// host returns the entry of the server; callers hold the lock.
+func (p *Pool) host(s Server) *host {
+	h := p.hosts[s.key()]
 	if h == nil {
 		h = &host{}
-		p.hosts[key] = h
+		p.hosts[s.key()] = h
 	}
+	return h
+}
+
+func (p *Pool) take(ctx context.Context, s Server, idempotent bool) (*conn, Status, error) {
+	now := time.Now()
+	p.mu.Lock()
+	h := p.host(s)
 	var stale []*conn
 	var found *conn
 	for len(h.idle) > 0 && found == nil {
@@ -98,24 +105,23 @@
 		h.idle = h.idle[:len(h.idle)-1]
 		if c.usable(now, idempotent) {
 			found = c
-			break
+			continue
 		}
 		h.open--
 		stale = append(stale, c)
 	}
-	if found == nil && h.open >= s.MaxConns {
-		p.mu.Unlock()
-		closeAll(stale)
-		return nil, NoRoom, errors.New("all connections are in use")
-	}
-	if found == nil {
+	full := found == nil && h.open >= s.MaxConns
+	if found == nil && !full {
 		h.open++
 		p.opens++
 	}
 	p.mu.Unlock()
 	closeAll(stale)
-	if found != nil {
+	switch {
+	case found != nil:
 		return found, Answered, nil
+	case full:
+		return nil, NoRoom, errors.New("all connections are in use")
 	}
 	return p.dial(ctx, s, h)
 }
@@ -134,17 +140,20 @@
 }
 
 func (c *conn) usable(now time.Time, idempotent bool) bool {
-	idle := now.Sub(c.idleSince)
-	if idle > time.Duration(float64(c.idleLimit)*idleMargin) || (!idempotent && idle > onceIdle) {
+	if c.expired(now) || (!idempotent && now.Sub(c.idleSince) > onceIdle) {
 		return false
 	}
 	return c.alive()
 }
 
+// expired says whether the server may be about to close the idle connection.
+func (c *conn) expired(now time.Time) bool {
+	return now.Sub(c.idleSince) > time.Duration(float64(c.idleLimit)*idleMargin)
+}
+
 func (p *Pool) release(s Server, c *conn) {
-	key := s.ID + " " + s.Address
 	p.mu.Lock()
-	h := p.hosts[key]
+	h := p.hosts[s.key()]
 	keep := !c.spent && !s.Once && h != nil
 	if keep {
 		c.idleSince = time.Now()
@@ -166,7 +175,7 @@
 	for key, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.Sub(c.idleSince) > time.Duration(float64(c.idleLimit)*idleMargin) {
+			if c.expired(now) {
 				h.open--
 				stale = append(stale, c)
 				continue
@@ -185,9 +194,8 @@
 // Warm opens a connection to the server if there is none, so that the first
 // requests do not wait for one.
 func (p *Pool) Warm(ctx context.Context, s Server) error {
-	key := s.ID + " " + s.Address
 	p.mu.Lock()
-	h := p.hosts[key]
+	h := p.hosts[s.key()]
 	connected := h != nil && h.open > 0
 	p.mu.Unlock()
 	if connected {
@@ -198,13 +206,8 @@
 
 // Probe opens a connection to the server and keeps it.
 func (p *Pool) Probe(ctx context.Context, s Server) error {
-	key := s.ID + " " + s.Address
 	p.mu.Lock()
-	h := p.hosts[key]
-	if h == nil {
-		h = &host{}
-		p.hosts[key] = h
-	}
+	h := p.host(s)
 	h.open++
 	p.opens++
 	p.mu.Unlock()
