Wait for a connection to a server instead of failing the attempt at once

Each call spent its five tries in 32 ms, and queries were failed for too few shards while connections came free again and again. Attempts now wait in line for up to half of the goal; hedges and the end of the query still overtake them.

--- a/shuntcall/call_test.go
+++ b/shuntcall/call_test.go
@@ -309,6 +309,32 @@
 	}
 }
 
+// TestBurst replays load that comes at once to a VM with few connections to each
+// server: requests wait for one, and all are served by the goal.
+func TestBurst(t *testing.T) {
+	const requests = 16
+	run(t, map[string]map[string]behavior{"s": {"a": {after: fast}, "b": {after: fast}}}, func(t *testing.T, w *world) {
+		w.share = 0.2 // one connection to each server
+		route := &shuntroute.Route{Idempotent: true, Goal: goal, MaxAttempts: 2}
+		service, _ := w.table.Service("s")
+		start := time.Now()
+		var g sync.WaitGroup
+		for range requests {
+			g.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				if res := w.caller.Forward(ctx, route, service, w.request(start), 1, false); res.End != Served {
+					t.Errorf("ended %v (%s)", res.End, res.Reason)
+				}
+			})
+		}
+		g.Wait()
+		if took := time.Since(start); took > goal {
+			t.Errorf("took %v; want at most %v", took, goal)
+		}
+	})
+}
+
 // TestNoShardAnswers: only where no shard has run is the query refused.
 func TestNoShardAnswers(t *testing.T) {
 	run(t, map[string]map[string]behavior{"s": {"a": {unreachable: true}}}, func(t *testing.T, w *world) {
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -23,6 +23,9 @@
 	declinedPause = 8 * time.Millisecond
 	// hedgeReserve is the part of the retry budget that hedges leave to retries.
 	hedgeReserve = 0.25
+	// roomShare is the part of the goal for which an attempt waits while all of
+	// this VM's connections to a server are in use.
+	roomShare = 0.5
 	// connReserve is the part of a server's connections left unused, for VMs
 	// that do not know of each other yet.
 	connReserve = 0.2
@@ -334,7 +337,8 @@
 	c.attempts.Add(1)
 	a := c.config.Board.Begin(s)
 	share := float64(in.Service.MaxConns) * (1 - connReserve) * c.config.Fleet.Share()
-	to := shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: max(1, int(share)), Once: share < 1}
+	to := shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: max(1, int(share)), Once: share < 1,
+		Wait: time.Duration(roomShare * float64(in.Route.Goal))}
 	o := c.config.Pool.Do(ctx, to, in.Route.Idempotent, in.Request)
 	c.config.Board.End(s, a, boardResult(o))
 	c.witness(in, s, o)
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	// must not run twice: one that the server has closed can't be told from one
 	// on which it ran.
 	onceIdle = 500 * time.Millisecond
+	// maxWaiting is how many exchanges wait for a connection to one server.
+	maxWaiting = 64
 	// deadPeerTimeout is when keep-alive probes start on a connection.
 	deadPeerTimeout = 5 * time.Second
 )
@@ -49,6 +52,15 @@
 type host struct {
 	open int
 	idle []*conn
+	// waiting holds those that found all connections in use, the first to come
+	// first.
+	waiting []*waiter
+}
+
+// waiter waits for room. It gets a connection, or nil where it may open one.
+type waiter struct {
+	room     chan *conn
+	maxConns int
 }
 
 // NewPool returns a pool without connections.
@@ -66,6 +78,8 @@
 	Address string
 	// MaxConns is how many connections this VM may have to the server.
 	MaxConns int
+	// Wait is how long an exchange may wait while all connections are in use.
+	Wait time.Duration
 	// Once closes connections after one exchange: many VMs may each use one now
 	// and then, but not keep it.
 	Once bool
@@ -110,30 +124,108 @@
 		h.open--
 		stale = append(stale, c)
 	}
-	full := found == nil && h.open >= s.MaxConns
-	if found == nil && !full {
+	var w *waiter
+	switch {
+	case found != nil:
+	case h.open < s.MaxConns:
 		h.open++
-		p.opens++
+	case len(h.waiting) < maxWaiting && s.Wait > 0:
+		w = &waiter{room: make(chan *conn, 1), maxConns: s.MaxConns}
+		h.waiting = append(h.waiting, w)
+	default:
+		p.mu.Unlock()
+		closeAll(stale)
+		return nil, NoRoom, errNoRoom
 	}
 	p.mu.Unlock()
 	closeAll(stale)
-	switch {
-	case found != nil:
+	if w != nil {
+		var err error
+		if found, err = p.wait(ctx, s, h, w); err != nil {
+			return nil, NoRoom, err
+		}
+		if found != nil && !found.usable(time.Now(), idempotent) {
+			_ = found.net.Close()
+			found = nil
+		}
+	}
+	if found != nil {
 		return found, Answered, nil
-	case full:
-		return nil, NoRoom, errors.New("all connections are in use")
 	}
 	return p.dial(ctx, s, h)
 }
 
+var errNoRoom = errors.New("all connections are in use")
+
+// wait waits until w has room, for as long as the exchange may.
+func (p *Pool) wait(ctx context.Context, s Server, h *host, w *waiter) (*conn, error) {
+	t := time.NewTimer(s.Wait)
+	defer t.Stop()
+	err := errNoRoom
+	select {
+	case c := <-w.room:
+		return c, nil
+	case <-t.C:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	p.mu.Lock()
+	i := slices.Index(h.waiting, w)
+	if i >= 0 {
+		h.waiting = slices.Delete(h.waiting, i, i+1)
+	}
+	p.mu.Unlock()
+	if i >= 0 {
+		return nil, errors.Trace(err)
+	}
+	// Room came at the same moment.
+	c := <-w.room
+	if err == errNoRoom {
+		return c, nil
+	}
+	if c == nil {
+		p.closed(h)
+	} else {
+		p.release(s, c)
+	}
+	return nil, errors.Trace(err)
+}
+
+// closed books the end of a connection.
+func (p *Pool) closed(h *host) {
+	p.mu.Lock()
+	h.open--
+	h.next()
+	p.mu.Unlock()
+}
+
+// next lets the first one waiting open a connection if there is room; callers
+// hold the lock.
+func (h *host) next() {
+	if len(h.waiting) == 0 || h.open >= h.waiting[0].maxConns {
+		return
+	}
+	h.open++
+	h.hand(nil)
+}
+
+// hand gives c to the first one waiting; callers hold the lock.
+func (h *host) hand(c *conn) {
+	w := h.waiting[0]
+	h.waiting = slices.Delete(h.waiting, 0, 1)
+	w.room <- c
+}
+
+// dial opens a connection that is booked already.
 func (p *Pool) dial(ctx context.Context, s Server, h *host) (*conn, Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
+	p.mu.Lock()
+	p.opens++
+	p.mu.Unlock()
 	c, err := p.config.Dial(ctx, s.Address)
 	if err != nil {
-		p.mu.Lock()
-		h.open--
-		p.mu.Unlock()
+		p.closed(h)
 		return nil, NotSent, errors.Trace(err)
 	}
 	return newConn(c, p.config.Group, defaultIdle), Answered, nil
@@ -155,11 +247,16 @@
 	p.mu.Lock()
 	h := p.hosts[s.key()]
 	keep := !c.spent && !s.Once && h != nil
-	if keep {
+	switch {
+	case keep && len(h.waiting) > 0:
+		c.idleSince = time.Now()
+		h.hand(c)
+	case keep:
 		c.idleSince = time.Now()
 		h.idle = append(h.idle, c)
-	} else if h != nil {
+	case h != nil:
 		h.open--
+		h.next()
 	}
 	p.mu.Unlock()
 	if !keep {
@@ -209,7 +306,6 @@
 	p.mu.Lock()
 	h := p.host(s)
 	h.open++
-	p.opens++
 	p.mu.Unlock()
 	c, _, err := p.dial(ctx, s, h)
 	if err == nil {
