--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -244,23 +244,26 @@
 }
 
 func (p *Pool) release(s Server, c *conn) {
+	keep := !c.spent && !s.Once
+	if !keep {
+		// Before the next one opens its own: the server counts both.
+		_ = c.net.Close()
+	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	h := p.hosts[s.key()]
-	keep := !c.spent && !s.Once && h != nil
 	switch {
-	case keep && len(h.waiting) > 0:
+	case h == nil:
+		_ = c.net.Close()
+	case !keep:
+		h.open--
+		h.next()
+	case len(h.waiting) > 0:
 		c.idleSince = time.Now()
 		h.hand(c)
-	case keep:
+	default:
 		c.idleSince = time.Now()
 		h.idle = append(h.idle, c)
-	case h != nil:
-		h.open--
-		h.next()
-	}
-	p.mu.Unlock()
-	if !keep {
-		_ = c.net.Close()
 	}
 }
 
--- a/shuntupstream/wait_test.go
+++ b/shuntupstream/wait_test.go
@@ -58,13 +58,12 @@
 						t.Errorf("%d connections are open", open)
 					}
 					ours, theirs := net.Pipe()
-					group.Go(func() {
-						answerAfter(theirs, work)
+					group.Go(func() { answerAfter(theirs, work) })
+					return &counted{Conn: ours, closed: sync.OnceFunc(func() {
 						mu.Lock()
 						defer mu.Unlock()
 						open--
-					})
-					return ours, nil
+					})}, nil
 				}})
 				got := map[Status]int{}
 				var g sync.WaitGroup
@@ -104,6 +103,17 @@
 	}
 }
 
+// counted is a connection that tells when it is closed.
+type counted struct {
+	net.Conn
+	closed func()
+}
+
+func (c *counted) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
 // answerAfter answers each request on c after the pause.
 func answerAfter(c net.Conn, pause time.Duration) {
 	defer func() { _ = c.Close() }()
