--- a/shuntrouter/front.go
+++ b/shuntrouter/front.go
@@ -90,6 +90,9 @@
 // ServeHTTP answers callers.
 func (r *Router) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	start := time.Now()
+	if !r.conns.begin(in.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	if r.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -99,6 +102,10 @@
 		r.refuse(w, id, "no routes are known yet")
 		return
 	}
+	if headerBytes(in) > orDefault(view.Table.Limits().HeaderBytes, defaultHeaderBytes) {
+		r.fail(w, id, http.StatusRequestHeaderFieldsTooLarge, "the header is too long", view.Table.Version())
+		return
+	}
 	route, ok := view.Table.Match(in.Host, in.URL.Path)
 	if !ok {
 		r.fail(w, id, http.StatusNotFound, "no route", view.Table.Version())
@@ -132,10 +139,7 @@
 }
 
 func (r *Router) readBody(w http.ResponseWriter, in *http.Request, id string, t *shuntroute.Table) ([]byte, bool) {
-	limit := int64(t.Limits().BodyBytes)
-	if limit <= 0 {
-		limit = defaultBody
-	}
+	limit := int64(orDefault(t.Limits().BodyBytes, defaultBody))
 	if in.ContentLength == 0 {
 		return nil, true
 	}
--- a/shuntrouter/front_test.go
+++ b/shuntrouter/front_test.go
@@ -83,7 +83,7 @@
 	}))
 	t.Cleanup(backend.Close)
 	table := shuntroute.NewTable(shuntroute.TableConfig{
-		Version: 1, Limits: shuntroute.Limits{BodyBytes: 100},
+		Version: 1, Limits: shuntroute.Limits{BodyBytes: 100, HeaderBytes: 1000},
 		Services: []shuntroute.Service{{Name: "a", MaxConns: 10}, {Name: "b", MaxConns: 10}},
 		Routes: []shuntroute.Route{
 			{Name: "one", Host: "h", Prefix: "/one/", Goal: time.Second, Timeout: 5 * time.Second, MaxAttempts: 2, Shares: []shuntroute.Share{{Service: "a", Weight: 1}}},
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -79,6 +79,7 @@
 	random   *shuntrandom.Source
 	metrics  *frontMetrics
 	splits   splits
+	conns    *callerConns
 	leaving  atomic.Bool
 }
 
@@ -93,6 +94,7 @@
 		cold:     shuntbalance.NewColdGate(),
 		throttle: shuntbalance.NewThrottle(),
 		metrics:  newFrontMetrics(c.Metrics),
+		conns:    newCallerConns(),
 	}
 	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
 	registerGauges(c.Metrics, r)
@@ -130,6 +132,7 @@
 	r.follower.Start(ctx)
 	r.config.Group.Go(func() { r.sweep(ctx) })
 	r.config.Group.Go(func() { r.warm(ctx) })
+	r.config.Group.Go(func() { r.enforceLimits(ctx) })
 	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.Peer)
 	return nil
 }
--- a/shuntupstream/wait_test.go
+++ b/shuntupstream/wait_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -43,66 +44,87 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var group shuntgroup.Group
-				var mu sync.Mutex
-				open, refused := 0, c.refused
-				p := NewPool(PoolConfig{Headers: testHeaders, Group: &group, Dial: func(context.Context, string) (net.Conn, error) {
-					mu.Lock()
-					defer mu.Unlock()
-					if refused > 0 {
-						refused--
-						return nil, errors.New("refused")
-					}
-					open++
-					if open > 1 {
-						t.Errorf("%d connections are open", open)
-					}
-					ours, theirs := net.Pipe()
-					group.Go(func() { answerAfter(theirs, work) })
-					return &counted{Conn: ours, closed: sync.OnceFunc(func() {
-						mu.Lock()
-						defer mu.Unlock()
-						open--
-					})}, nil
-				}})
-				got := map[Status]int{}
-				var g sync.WaitGroup
-				start := time.Now()
-				for i := range exchanges {
-					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-					if c.cancelled && i > 0 {
-						ctx, cancel = context.WithTimeout(t.Context(), work/2)
-					}
-					defer cancel()
-					g.Go(func() {
-						o := p.Do(ctx, Server{ID: "i", MaxConns: 1, Wait: c.wait, Once: c.once}, true, request(fmt.Sprint(i)))
-						mu.Lock()
-						defer mu.Unlock()
-						got[o.Status]++
-					})
-					synctest.Wait()
+				s := &soleServer{t: t, work: work, refused: c.refused}
+				p := NewPool(PoolConfig{Headers: testHeaders, Group: &s.group, Dial: s.dial})
+				patience := time.Minute
+				if c.cancelled {
+					patience = work / 2
 				}
-				g.Wait()
+				start := time.Now()
+				got := s.exchange(p, Server{ID: "i", MaxConns: 1, Wait: c.wait, Once: c.once}, exchanges, patience)
 				if took := time.Since(start); took > c.took {
 					t.Errorf("took %v; want %v", took, c.took)
 				}
-				for status, n := range c.want {
-					if got[status] != n {
-						t.Errorf("ended %v; want %v", got, c.want)
-						break
-					}
+				if !maps.Equal(got, c.want) {
+					t.Errorf("ended %v; want %v", got, c.want)
 				}
 				p.Sweep(time.Now().Add(time.Hour))
 				synctest.Wait()
 				if len(p.hosts) > 0 {
 					t.Error("a connection is booked that does not exist")
 				}
-				group.Close()
+				s.group.Close()
 			})
 		})
 	}
 }
 
+// soleServer takes one connection at a time, and answers after some work.
+type soleServer struct {
+	t     *testing.T
+	work  time.Duration
+	group shuntgroup.Group
+
+	mu   sync.Mutex
+	open int
+	// refused is how many attempts to connect fail yet.
+	refused int
+}
+
+func (s *soleServer) dial(context.Context, string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused > 0 {
+		s.refused--
+		return nil, errors.New("refused")
+	}
+	s.open++
+	if s.open > 1 {
+		s.t.Errorf("%d connections are open", s.open)
+	}
+	ours, theirs := net.Pipe()
+	s.group.Go(func() { answerAfter(theirs, s.work) })
+	return &counted{Conn: ours, closed: sync.OnceFunc(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open--
+	})}, nil
+}
+
+// exchange starts count exchanges one after the other, the later ones with
+// patience, and returns how many ended how.
+func (s *soleServer) exchange(p *Pool, to Server, count int, patience time.Duration) map[Status]int {
+	got := map[Status]int{}
+	var g sync.WaitGroup
+	for i := range count {
+		limit := patience
+		if i == 0 {
+			limit = time.Minute
+		}
+		g.Go(func() {
+			ctx, cancel := context.WithTimeout(s.t.Context(), limit)
+			defer cancel()
+			o := p.Do(ctx, to, true, request(fmt.Sprint(i)))
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			got[o.Status]++
+		})
+		synctest.Wait()
+	}
+	g.Wait()
+	return got
+}
+
 // counted is a connection that tells when it is closed.
 type counted struct {
 	net.Conn
