Let a VM of another region gather the shards that have servers there

The entry now passes such shards on to one entry near them, which answers with the greatest records of all.

--- a/shuntbalance/board.go
+++ b/shuntbalance/board.go
@@ -260,6 +260,14 @@
 	return expected
 }
 
+// Expected returns the time that one more request at s is expected to take; one
+// that could not be reached lately, or that stalls, is expected to take long.
+func (b *Board) Expected(s shuntroute.Server) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.score(s, b.record(s), time.Now())
+}
+
 // Down says whether s could not be reached lately.
 func (b *Board) Down(s shuntroute.Server) bool {
 	b.mu.Lock()
--- a/shuntcall/call_test.go
+++ b/shuntcall/call_test.go
@@ -40,6 +40,8 @@
 	unsigned  bool
 	region    string
 	cold      bool
+	// gathers says how many shards a VM answers for, at most.
+	gathers int
 }
 
 // world is a set of stand-in servers in virtual time. Each service has servers
@@ -47,6 +49,7 @@
 type world struct {
 	behaviors map[string]behavior
 	inCharge  bool
+	delegates []Delegate
 	share     float64
 
 	mu       sync.Mutex
@@ -57,8 +60,9 @@
 	table    *shuntroute.Table
 }
 
-func (w *world) Share() float64       { return w.share }
-func (w *world) InCharge(string) bool { return w.inCharge }
+func (w *world) Share() float64        { return w.share }
+func (w *world) InCharge(string) bool  { return w.inCharge }
+func (w *world) Delegates() []Delegate { return w.delegates }
 
 // run builds a caller over the services, and runs f in virtual time.
 func run(t *testing.T, services map[string]map[string]behavior, f func(t *testing.T, w *world)) {
@@ -84,19 +88,22 @@
 		w.table = shuntroute.NewTable(config)
 		w.view = shuntroute.NewView(w.table, 1, servers, nil)
 		w.caller = New(Config{
-			Pool:      shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
-			Board:     shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: "here"}),
-			Budget:    shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
-			Cold:      shuntbalance.NewColdGate(),
-			Throttle:  shuntbalance.NewThrottle(),
-			Fleet:     w,
-			Group:     &w.group,
-			View:      func() *shuntroute.View { return w.view },
-			ColdBurst: func(shuntroute.Service) float64 { return 5 },
-			Headers:   testHeaders,
-			Metrics:   NewMetrics(metrics.NewSet()),
-			Guard:     shuntguard.New(shuntguard.Config{}),
-			Witness:   shuntguard.NewWitness(),
+			Pool:         shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
+			Board:        shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: "here"}),
+			Region:       "here",
+			DelegatePool: shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
+			Delegates:    shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: "here"}),
+			Budget:       shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
+			Cold:         shuntbalance.NewColdGate(),
+			Throttle:     shuntbalance.NewThrottle(),
+			Fleet:        w,
+			Group:        &w.group,
+			View:         func() *shuntroute.View { return w.view },
+			ColdBurst:    func(shuntroute.Service) float64 { return 5 },
+			Headers:      testHeaders,
+			Metrics:      NewMetrics(metrics.NewSet()),
+			Guard:        shuntguard.New(shuntguard.Config{}),
+			Witness:      shuntguard.NewWitness(),
 		})
 		f(t, w)
 		time.Sleep(time.Minute)
@@ -168,6 +175,9 @@
 	if b.unsigned {
 		header = ""
 	}
+	if b.gathers > 0 {
+		header = gathered(req, b.gathers)
+	}
 	body := fmt.Sprintf("%-16.16s", address)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", code, req.Header.Get("Id"), header, len(body), body)
 	return err == nil
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -37,14 +37,22 @@
 	Share() float64
 	// InCharge says whether this VM is the one that sends to a cold server.
 	InCharge(server string) bool
+	// Delegates returns the VMs of other regions that may gather shards there.
+	Delegates() []Delegate
 }
 
 // Config is what a Caller is made of.
 type Config struct {
-	Pool   *shuntupstream.Pool
-	Board  *shuntbalance.Board
-	Budget *shuntbalance.RetryBudget
-	Cold   *shuntbalance.ColdGate
+	Pool  *shuntupstream.Pool
+	Board *shuntbalance.Board
+	// Region is that of this VM.
+	Region string
+	// DelegatePool holds the connections to other VMs, and Delegates what was
+	// seen of them.
+	DelegatePool *shuntupstream.Pool
+	Delegates    *shuntbalance.Board
+	Budget       *shuntbalance.RetryBudget
+	Cold         *shuntbalance.ColdGate
 	// Throttle bounds queries to indexes that are overloaded.
 	Throttle *shuntbalance.Throttle
 	Fleet    Fleet
@@ -65,6 +73,7 @@
 type Caller struct {
 	config   Config
 	attempts atomic.Uint64
+	travels  travels
 }
 
 // New returns a Caller.
--- a/shuntcall/metrics.go
+++ b/shuntcall/metrics.go
@@ -11,27 +11,35 @@
 )
 
 var (
-	docAttempts = shuntmetric.Doc{Name: "mulberryshunt_upstream_attempts_total", Labels: "Status", Type: "Counter", Text: "Attempts at backend servers, by how they ended.", Since: "0.2"}
-	docExtra    = shuntmetric.Doc{Name: "mulberryshunt_upstream_extra_total", Type: "Counter", Text: "Attempts beyond the first of a request at a service: hedges and retries.", Since: "0.2"}
-	docLatency  = shuntmetric.Doc{Name: "mulberryshunt_upstream_seconds", Type: "Histogram", Unit: "seconds", Text: "Time of attempts that were answered.", Since: "0.2"}
+	docAttempts  = shuntmetric.Doc{Name: "mulberryshunt_upstream_attempts_total", Labels: "Status", Type: "Counter", Text: "Attempts at backend servers, by how they ended.", Since: "0.2"}
+	docExtra     = shuntmetric.Doc{Name: "mulberryshunt_upstream_extra_total", Type: "Counter", Text: "Attempts beyond the first of a request at a service: hedges and retries.", Since: "0.2"}
+	docDelegated = shuntmetric.Doc{Name: "mulberryshunt_shards_delegated_total", Labels: "End", Type: "Counter", Text: "Shards that a VM of another region was asked to gather, by how that ended; Refused ones were then asked directly.", Since: "0.3"}
+	docLatency   = shuntmetric.Doc{Name: "mulberryshunt_upstream_seconds", Type: "Histogram", Unit: "seconds", Text: "Time of attempts that were answered.", Since: "0.2"}
 )
 
 // MetricDocs describes the metrics of this package.
-func MetricDocs() []shuntmetric.Doc { return []shuntmetric.Doc{docAttempts, docExtra, docLatency} }
+func MetricDocs() []shuntmetric.Doc {
+	return []shuntmetric.Doc{docAttempts, docExtra, docDelegated, docLatency}
+}
 
 // Metrics counts attempts.
 type Metrics struct {
-	Extra    *metrics.Counter
-	latency  *metrics.Histogram
-	statuses map[shuntupstream.Status]*metrics.Counter
+	Extra     *metrics.Counter
+	delegated map[End]*metrics.Counter
+	latency   *metrics.Histogram
+	statuses  map[shuntupstream.Status]*metrics.Counter
 }
 
 // NewMetrics returns the metrics in set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	m := &Metrics{
-		Extra:    shuntmetric.Counter(set, docExtra, ""),
-		latency:  shuntmetric.Histogram(set, docLatency, ""),
-		statuses: map[shuntupstream.Status]*metrics.Counter{},
+		Extra:     shuntmetric.Counter(set, docExtra, ""),
+		latency:   shuntmetric.Histogram(set, docLatency, ""),
+		statuses:  map[shuntupstream.Status]*metrics.Counter{},
+		delegated: map[End]*metrics.Counter{},
+	}
+	for _, e := range []End{Served, Refused, Faulted} {
+		m.delegated[e] = shuntmetric.Counter(set, docDelegated, fmt.Sprintf("End=%q", e))
 	}
 	for s := shuntupstream.Answered; s <= shuntupstream.Cancelled; s++ {
 		m.statuses[s] = shuntmetric.Counter(set, docAttempts, fmt.Sprintf("Status=%q", s))
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -38,27 +38,49 @@
 // index names the set of shards.
 func (q Query) index() string { return q.Route.Shards[0] }
 
-// Part is one shard's answer.
-type Part struct {
-	Shard     string
-	Signature string
-	Body      []byte
+// Subset is a part of a query's shards, and when it is answered.
+type Subset struct {
+	Shards []string
+	// Need is the least number of shards of an answer, and Due when it leaves if
+	// that many are in.
+	Need int
+	Due  time.Time
+}
+
+// whole returns all shards of the query as a subset.
+func (q Query) whole() Subset {
+	return Subset{Shards: q.Route.Shards, Need: needed(q.Route), Due: q.Start.Add(q.Route.Goal - answerMargin)}
 }
 
 // Answer is the end of a query.
 type Answer struct {
-	End   End
-	Parts []Part
+	End End
+	// Bodies hold the records, and Signatures those of the shards that are in.
+	// A body may hold the records of several shards.
+	Bodies     [][]byte
+	Signatures []string
 	// Missing counts the shards left out.
 	Missing int
+	// Took is the time of the server in the middle of those that answered, and In
+	// when most of the shards that are in were so, since the query came.
+	Took time.Duration
+	In   time.Duration
 	// Reason says why shards are missing, of the last one.
 	Reason   string
 	Attempts int
 }
 
-type shardEnd struct {
-	shard  string
-	result Result
+// arrival is the end of one or several shards.
+type arrival struct {
+	shards     int
+	end        End
+	bodies     [][]byte
+	signatures []string
+	took       time.Duration
+	// in is when the shards were in, since the query came.
+	in       time.Duration
+	attempts int
+	reason   string
 }
 
 // Scatter asks one server of each shard. It answers as soon as all are in, or
@@ -69,26 +91,41 @@
 	if !c.config.Throttle.Admit(shuntbalance.Ask{Index: q.index(), Urgent: q.Urgent, Returned: q.Returned}) {
 		return Answer{End: Refused, Missing: len(q.Route.Shards), Reason: "the servers carry no more queries"}
 	}
+	g := newGathering(q, q.whole())
+	a := c.gather(ctx, q, g, c.delegation(q))
+	c.config.Throttle.Ended(q.index(), g.typical(), q.Route.Goal, len(g.signatures) >= g.subset.Need)
+	return a
+}
+
+// Gather asks one server of each shard of the subset, for another VM.
+func (c *Caller) Gather(ctx context.Context, q Query, s Subset) Answer {
+	return c.gather(ctx, q, newGathering(q, s), delegation{})
+}
+
+func (c *Caller) gather(ctx context.Context, q Query, g *gathering, d delegation) Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan shardEnd, len(q.Route.Shards))
-	for _, shard := range q.Route.Shards {
-		if !c.config.Group.Go(func() { ends <- shardEnd{shard, c.askShard(ctx, q, shard)} }) {
-			// Shards before this one may have been asked.
-			return Answer{End: Faulted, Missing: len(q.Route.Shards), Reason: "the process is ending"}
+	ends := make(chan arrival, len(g.subset.Shards))
+	running := true
+	if len(d.shards) > 0 {
+		running = c.config.Group.Go(func() { c.askDelegate(ctx, q, g.subset, d, ends) })
+	}
+	for _, shard := range g.subset.Shards {
+		if !slices.Contains(d.shards, shard) {
+			running = running && c.config.Group.Go(func() { ends <- c.askShard(ctx, q, shard) })
 		}
 	}
-	g := gathering{query: q, need: needed(q.Route), open: len(q.Route.Shards)}
-	defer func() {
-		c.config.Throttle.Ended(q.index(), g.typical(), q.Route.Goal, len(g.parts) >= g.need)
-	}()
-	goal := time.NewTimer(time.Until(q.Start.Add(q.Route.Goal - answerMargin)))
-	defer goal.Stop()
+	if !running {
+		// Some shards may have been asked.
+		return Answer{End: Faulted, Missing: len(g.subset.Shards), Reason: "the process is ending"}
+	}
+	due := time.NewTimer(time.Until(g.subset.Due))
+	defer due.Stop()
 	for !g.complete() {
 		select {
 		case e := <-ends:
-			g.add(c.config.Headers, e)
-		case <-goal.C:
+			g.add(e)
+		case <-due.C:
 			g.late = true
 		case <-ctx.Done():
 			return g.answer(Expired)
@@ -97,12 +134,12 @@
 	return g.answer(g.failure())
 }
 
-func (c *Caller) askShard(ctx context.Context, q Query, shard string) Result {
+func (c *Caller) askShard(ctx context.Context, q Query, shard string) arrival {
 	s, ok := q.Table.Service(shard)
 	if !ok {
-		return Result{End: Refused, Reason: "no such service"}
+		return arrival{shards: 1, end: Refused, reason: shard + ": no such service"}
 	}
-	return c.Do(ctx, Call{
+	res := c.Do(ctx, Call{
 		Route:       q.Route,
 		Service:     s,
 		Request:     q.Request,
@@ -110,6 +147,12 @@
 		Single:      q.Suspect,
 		HedgeAfter:  time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.Goal)))),
 	})
+	out := arrival{shards: 1, end: res.End, took: res.Took, in: time.Since(q.Start), attempts: res.Attempts, reason: shard + ": " + res.Reason}
+	if res.End == Served {
+		out.bodies = [][]byte{res.Reply.Body}
+		out.signatures = []string{res.Reply.Header.Get(c.config.Headers.Signature)}
+	}
+	return out
 }
 
 // needed returns the least number of shards of an answer.
@@ -126,66 +169,87 @@
 
 // gathering is the state of a running query.
 type gathering struct {
-	query Query
-	need  int
-	open  int
-	late  bool
-	ran   bool
-	parts []Part
+	query      Query
+	subset     Subset
+	open       int
+	late       bool
+	ran        bool
+	bodies     [][]byte
+	signatures []string
 	// took holds the time of each server that answered, and in when its shard
 	// was in, since the query came.
 	took     []time.Duration
 	in       []time.Duration
-	stamps   map[string]bool
 	reason   string
 	attempts int
 }
 
-func (g *gathering) add(h shuntupstream.Headers, e shardEnd) {
-	g.open--
-	g.attempts += e.result.Attempts
-	if e.result.End != Refused {
+func newGathering(q Query, s Subset) *gathering {
+	return &gathering{query: q, subset: s, open: len(s.Shards)}
+}
+
+func (g *gathering) add(e arrival) {
+	g.open -= e.shards
+	g.attempts += e.attempts
+	if e.end != Refused {
 		g.ran = true
 	}
-	if e.result.End != Served {
-		g.reason = e.shard + ": " + e.result.Reason
+	if e.end != Served || len(e.signatures) < e.shards {
+		g.reason = e.reason
+	}
+	if e.end != Served {
 		return
 	}
-	p := Part{Shard: e.shard, Signature: e.result.Reply.Header.Get(h.Signature), Body: e.result.Reply.Body}
-	if g.stamps == nil {
-		g.stamps = map[string]bool{}
+	for _, s := range e.signatures {
+		if slices.Contains(g.signatures, s) {
+			g.reason = "a signature belongs to another shard"
+			return
+		}
 	}
-	if g.stamps[p.Signature] {
-		g.reason = e.shard + ": the signature belongs to another shard"
-		return
+	g.bodies = append(g.bodies, e.bodies...)
+	for _, s := range e.signatures {
+		g.signatures = append(g.signatures, s)
+		g.took = append(g.took, e.took)
+		g.in = append(g.in, e.in)
 	}
-	g.stamps[p.Signature] = true
-	g.parts = append(g.parts, p)
-	g.took = append(g.took, e.result.Took)
-	g.in = append(g.in, time.Since(g.query.Start))
 }
 
-// typical returns within what time most shards had answered, and 0 where single
-// servers were not busy: then shards are missing for another reason than load.
-func (g *gathering) typical() time.Duration {
-	goal := g.query.Route.Goal
+// middle returns the time of the server in the middle of those that answered.
+func (g *gathering) middle() time.Duration {
 	if len(g.took) == 0 {
 		return 0
 	}
 	slices.Sort(g.took)
-	if g.took[len(g.took)/2] < time.Duration(busyShare*float64(goal)) {
+	return g.took[len(g.took)/2]
+}
+
+// typical returns within what time most shards had answered, and 0 where single
+// servers were not busy: then shards are missing for another reason than load.
+func (g *gathering) typical() time.Duration {
+	goal := g.query.Route.Goal
+	if g.middle() < time.Duration(busyShare*float64(goal)) {
 		return 0
 	}
-	if most := int(mostShards * float64(len(g.query.Route.Shards))); most < len(g.in) {
+	if most := int(mostShards * float64(len(g.subset.Shards))); most < len(g.in) {
+		slices.Sort(g.in)
 		return g.in[most]
 	}
 	return goal
 }
 
+// mostIn returns when most of those that answered had.
+func (g *gathering) mostIn() time.Duration {
+	if len(g.in) == 0 {
+		return 0
+	}
+	slices.Sort(g.in)
+	return g.in[min(len(g.in)-1, int(mostShards*float64(len(g.in))))]
+}
+
 // complete says whether the query is to be answered now.
 func (g *gathering) complete() bool {
-	enough := len(g.parts) >= g.need
-	return g.open == 0 || (enough && g.late) || len(g.parts)+g.open < g.need
+	enough := len(g.signatures) >= g.subset.Need
+	return g.open == 0 || (enough && g.late) || len(g.signatures)+g.open < g.subset.Need
 }
 
 // failure is the end of the query where too few shards are in.
@@ -197,9 +261,9 @@
 }
 
 func (g *gathering) answer(failure End) Answer {
-	a := Answer{End: failure, Missing: len(g.query.Route.Shards) - len(g.parts), Reason: g.reason, Attempts: g.attempts}
-	if len(g.parts) >= g.need {
-		a.End, a.Parts = Served, g.parts
+	a := Answer{End: failure, Missing: len(g.subset.Shards) - len(g.signatures), Took: g.middle(), In: g.mostIn(), Reason: g.reason, Attempts: g.attempts}
+	if len(g.signatures) >= g.subset.Need {
+		a.End, a.Bodies, a.Signatures = Served, g.bodies, g.signatures
 	}
 	return a
 }
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -233,6 +233,18 @@
 	return out
 }
 
+// Remote returns the VMs of other regions that callers there are sent to, by
+// region.
+func (s *Snapshot) Remote(own string) map[string][]netip.AddrPort {
+	out := map[string][]netip.AddrPort{}
+	for region := range s.regions {
+		if region != own {
+			out[region] = s.addresses(region)
+		}
+	}
+	return out
+}
+
 // Ahead returns the nearest VM that has followed what is published beyond the
 // revision, or false.
 func (s *Snapshot) Ahead(revision int64, zone, region string) (netip.AddrPort, bool) {
--- a/shuntrouter/front.go
+++ b/shuntrouter/front.go
@@ -115,11 +115,7 @@
 	if !ok {
 		return
 	}
-	q := request{id: id, start: start, route: route, table: view.Table}
-	q.deadline = r.deadline(in, route, start)
-	q.upstream = shuntupstream.Request{
-		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: q.deadline,
-	}
+	q := r.request(in, id, start, route, view.Table, body)
 	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
 	q.fingerprint = shuntcall.Fingerprint(caller, q.upstream)
 	admission, release := r.caller.Admit(q.fingerprint)
@@ -138,6 +134,16 @@
 	r.forward(ctx, w, q)
 }
 
+// request returns what goes on to servers.
+func (r *Router) request(in *http.Request, id string, start time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte) request {
+	q := request{id: id, start: start, route: route, table: t}
+	q.deadline = r.deadline(in, route, start)
+	q.upstream = shuntupstream.Request{
+		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: q.deadline,
+	}
+	return q
+}
+
 func (r *Router) readBody(w http.ResponseWriter, in *http.Request, id string, t *shuntroute.Table) ([]byte, bool) {
 	limit := int64(orDefault(t.Limits().BodyBytes, defaultBody))
 	if in.ContentLength == 0 {
@@ -243,15 +249,10 @@
 }
 
 func (r *Router) replyParts(w http.ResponseWriter, q request, a shuntcall.Answer) {
-	bodies := make([][]byte, len(a.Parts))
-	signatures := make([]string, len(a.Parts))
-	for i, p := range a.Parts {
-		bodies[i], signatures[i] = p.Body, p.Signature
-	}
-	body := shuntcall.Greatest(bodies, q.route.TopRecords)
+	body := shuntcall.Greatest(a.Bodies, q.route.TopRecords)
 	h := w.Header()
 	h.Set(r.config.Headers.Upstream.RequestID, q.id)
-	h.Set(r.config.Headers.PartSignatures, strings.Join(signatures, ", "))
+	h.Set(r.config.Headers.PartSignatures, strings.Join(a.Signatures, ", "))
 	h.Set(r.config.Headers.MissingParts, strconv.Itoa(a.Missing))
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -72,29 +72,35 @@
 	follower *shuntcatalog.Follower
 	node     *shuntmember.Node
 	pool     *shuntupstream.Pool
-	board    *shuntbalance.Board
-	cold     *shuntbalance.ColdGate
-	throttle *shuntbalance.Throttle
-	caller   *shuntcall.Caller
-	random   *shuntrandom.Source
-	metrics  *frontMetrics
-	splits   splits
-	conns    *callerConns
-	leaving  atomic.Bool
+	// peers and delegates are the connections to other VMs that gather shards,
+	// and what was seen of them.
+	peers     *shuntupstream.Pool
+	delegates *shuntbalance.Board
+	board     *shuntbalance.Board
+	cold      *shuntbalance.ColdGate
+	throttle  *shuntbalance.Throttle
+	caller    *shuntcall.Caller
+	random    *shuntrandom.Source
+	metrics   *frontMetrics
+	splits    splits
+	conns     *callerConns
+	leaving   atomic.Bool
 }
 
 // New returns a router that has not started.
 func New(c Config) *Router {
 	s := c.Settings
 	r := &Router{
-		config:   c,
-		random:   shuntrandom.New(0),
-		pool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
-		board:    shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: s.Region}),
-		cold:     shuntbalance.NewColdGate(),
-		throttle: shuntbalance.NewThrottle(),
-		metrics:  newFrontMetrics(c.Metrics),
-		conns:    newCallerConns(),
+		config:    c,
+		random:    shuntrandom.New(0),
+		pool:      shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
+		board:     shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: s.Region}),
+		peers:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
+		delegates: shuntbalance.NewBoard(shuntbalance.BoardConfig{Region: s.Region}),
+		cold:      shuntbalance.NewColdGate(),
+		throttle:  shuntbalance.NewThrottle(),
+		metrics:   newFrontMetrics(c.Metrics),
+		conns:     newCallerConns(),
 	}
 	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
 	registerGauges(c.Metrics, r)
@@ -110,7 +116,8 @@
 		OnReads: func(reads bool) { r.node.Update(func(m *shuntmember.Roster) { m.SetReading(reads) }) },
 	})
 	r.caller = shuntcall.New(shuntcall.Config{
-		Pool: r.pool, Board: r.board, Cold: r.cold, Fleet: r.node, Group: c.Group, View: r.follower.View, Headers: c.Headers.Upstream,
+		Pool: r.pool, Board: r.board, Cold: r.cold, Fleet: fleet{r.node, s.Region}, Region: s.Region,
+		DelegatePool: r.peers, Delegates: r.delegates, Group: c.Group, View: r.follower.View, Headers: c.Headers.Upstream,
 		Budget: shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{
 			Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Share: r.node.Share,
 		}),
@@ -133,6 +140,7 @@
 	r.config.Group.Go(func() { r.sweep(ctx) })
 	r.config.Group.Go(func() { r.warm(ctx) })
 	r.config.Group.Go(func() { r.enforceLimits(ctx) })
+	r.serveShards(ctx)
 	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.Peer)
 	return nil
 }
@@ -158,6 +166,8 @@
 			r.node.Update(func(m *shuntmember.Roster) { m.SetLoad(load) })
 			r.pool.Sweep(now)
 			r.board.Prune(now)
+			r.peers.Sweep(now)
+			r.delegates.Prune(now)
 			r.cold.Prune(now)
 			r.throttle.Prune(now)
 		case <-ctx.Done():
--- /dev/null
+++ b/shuntrouter/shards_test.go
@@ -0,0 +1,69 @@
+package shuntrouter
+
+import (
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// TestGather is what another VM gets that passes a part of a query on. Where
+// nothing has run, the answer says so, so that the other may ask the shards.
+func TestGather(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		change  map[string]string
+		leaving bool
+		code    int
+		shards  int
+	}{
+		"both":               {path: "/all/x", code: http.StatusOK, shards: 2},
+		"one":                {path: "/all/x", change: map[string]string{"Shunt-Shards": "1"}, code: http.StatusOK, shards: 1},
+		"one has no server":  {path: "/all/x", change: map[string]string{"Shunt-Shards": "0,2"}, code: http.StatusOK, shards: 1},
+		"too few":            {path: "/all/x", change: map[string]string{"Shunt-Shards": "0,2", "Shunt-Need": "2"}, code: http.StatusBadGateway},
+		"no server":          {path: "/all/x", change: map[string]string{"Shunt-Shards": "2"}, code: http.StatusServiceUnavailable},
+		"other routes":       {path: "/all/x", change: map[string]string{"Shunt-Version": "2"}, code: http.StatusServiceUnavailable},
+		"no such shard":      {path: "/all/x", change: map[string]string{"Shunt-Shards": "3"}, code: http.StatusServiceUnavailable},
+		"a route of no kind": {path: "/one/x", code: http.StatusServiceUnavailable},
+		"no route":           {path: "/other/x", code: http.StatusServiceUnavailable},
+		"unreadable":         {path: "/all/x", change: map[string]string{"Shunt-Need": "some"}, code: http.StatusServiceUnavailable},
+		"this VM ends":       {path: "/all/x", leaving: true, code: http.StatusServiceUnavailable},
+	}
+	f := newFront(t, true)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f.router.leaving.Store(c.leaving)
+			h, code := f.passOn(c.path, c.change)
+			if code != c.code || h.Get("Id") != "7" {
+				t.Errorf("got %d for %q; want %d", code, h.Get("Id"), c.code)
+			}
+			if promised := h.Get("Not-Run") != ""; promised != (c.code == http.StatusServiceUnavailable) {
+				t.Errorf("says that it has not run: %v", promised)
+			}
+			if c.shards == 0 {
+				return
+			}
+			if got := strings.Split(h.Get("Shunt-Signatures"), ","); len(got) != c.shards {
+				t.Errorf("signatures %v; want %d", got, c.shards)
+			}
+			if got := f.got.Load(); got.Header.Get("Shunt-Shards") != "" || got.Header.Get("Id") != "7" {
+				t.Errorf("the server got %v", got.Header)
+			}
+		})
+	}
+}
+
+// passOn asks as another VM, with changes to a request that is right.
+func (f *front) passOn(path string, change map[string]string) (http.Header, int) {
+	in := httptest.NewRequest(http.MethodGet, path, nil)
+	in.Host = "h"
+	headers := map[string]string{"Id": "7", "Left": "2000", "Shunt-Shards": "0,1", "Shunt-Version": "1", "Shunt-Need": "1", "Shunt-Due-Ms": "200", "Shunt-Fingerprint": "a"}
+	maps.Copy(headers, change)
+	for name, v := range headers {
+		in.Header.Set(name, v)
+	}
+	w := httptest.NewRecorder()
+	f.router.gather(w, in)
+	return w.Header(), w.Code
+}
