--- /dev/null
+++ b/shuntcall/delegated.go
@@ -0,0 +1,134 @@
+package shuntcall
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntroute"
+	"mulberryshunt.example/mulberryshunt/shuntupstream"
+)
+
+// Headers of requests between VMs.
+const (
+	headerShards      = "Shunt-Shards"
+	headerVersion     = "Shunt-Version"
+	headerNeed        = "Shunt-Need"
+	headerDue         = "Shunt-Due-Ms"
+	headerFingerprint = "Shunt-Fingerprint"
+	headerSignatures  = "Shunt-Signatures"
+	headerWork        = "Shunt-Work-Us"
+	headerMiddle      = "Shunt-Middle-Us"
+	headerIn          = "Shunt-In-Us"
+	headerAttempts    = "Shunt-Attempts"
+)
+
+// delegatedRequest is the query with what another VM needs to gather the shards,
+// which is to answer after due if enough are in.
+func delegatedRequest(q Query, s Subset, shards []string, due time.Duration) shuntupstream.Request {
+	r := q.Request
+	r.Header = r.Header.Clone()
+	numbers := make([]string, len(shards))
+	for i, shard := range shards {
+		numbers[i] = strconv.Itoa(slices.Index(q.Route.Shards, shard))
+	}
+	// The other shards may all be in: then this many may be missing here.
+	need := max(1, len(shards)-(len(s.Shards)-s.Need))
+	r.Header.Set(headerShards, strings.Join(numbers, ","))
+	r.Header.Set(headerVersion, strconv.FormatInt(q.Table.Version(), 10))
+	r.Header.Set(headerNeed, strconv.Itoa(need))
+	r.Header.Set(headerDue, strconv.FormatInt(max(0, due.Milliseconds()), 10))
+	r.Header.Set(headerFingerprint, strconv.FormatUint(q.Fingerprint, 16))
+	return r
+}
+
+// delegateArrival reads what another VM answered for a number of shards, and how
+// long it worked on them.
+func delegateArrival(o shuntupstream.Outcome, shards int) (arrival, time.Duration) {
+	out := arrival{shards: shards, end: Faulted, reason: errorText(o.Err)}
+	if o.Status != shuntupstream.Answered {
+		return out, 0
+	}
+	h := o.Reply.Header
+	work, workErr := strconv.ParseInt(h.Get(headerWork), 10, 64)
+	middle, middleErr := strconv.ParseInt(h.Get(headerMiddle), 10, 64)
+	in, inErr := strconv.ParseInt(h.Get(headerIn), 10, 64)
+	attempts, attemptsErr := strconv.Atoi(h.Get(headerAttempts))
+	if o.Reply.Code != http.StatusOK || workErr != nil || middleErr != nil || inErr != nil || attemptsErr != nil {
+		out.reason = "another VM answered " + strconv.Itoa(o.Reply.Code)
+		return out, 0
+	}
+	signatures := strings.Split(h.Get(headerSignatures), ",")
+	if len(signatures) > shards {
+		out.reason = "another VM answered for more shards"
+		return out, 0
+	}
+	out.end, out.signatures, out.bodies = Served, signatures, [][]byte{o.Reply.Body}
+	out.took, out.in, out.attempts = time.Duration(middle)*time.Microsecond, time.Duration(in)*time.Microsecond, attempts
+	if len(signatures) < shards {
+		out.reason = "missing at another VM"
+	}
+	return out, time.Duration(work) * time.Microsecond
+}
+
+// Delegated is a part of a query that another VM passed on.
+type Delegated struct {
+	Version     int64
+	Fingerprint uint64
+	Need        int
+	Due         time.Duration
+	// Numbers are the places of the shards in the route.
+	Numbers []int
+}
+
+// ReadDelegated reads the headers of a request from another VM, and removes
+// them.
+func ReadDelegated(h http.Header) (Delegated, error) {
+	version, err1 := strconv.ParseInt(h.Get(headerVersion), 10, 64)
+	fingerprint, err2 := strconv.ParseUint(h.Get(headerFingerprint), 16, 64)
+	need, err3 := strconv.Atoi(h.Get(headerNeed))
+	due, err4 := strconv.ParseInt(h.Get(headerDue), 10, 64)
+	d := Delegated{Version: version, Fingerprint: fingerprint, Need: need, Due: time.Duration(due) * time.Millisecond}
+	for text := range strings.SplitSeq(h.Get(headerShards), ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return Delegated{}, errors.Annotate(err, headerShards)
+		}
+		d.Numbers = append(d.Numbers, n)
+	}
+	for _, err := range []error{err1, err2, err3, err4} {
+		if err != nil {
+			return Delegated{}, errors.Trace(err)
+		}
+	}
+	for _, name := range []string{headerShards, headerVersion, headerNeed, headerDue, headerFingerprint} {
+		h.Del(name)
+	}
+	return d, nil
+}
+
+// Subset returns the shards of the route that are meant, false where it has
+// not so many.
+func (d Delegated) Subset(r *shuntroute.Route, start time.Time) (Subset, bool) {
+	s := Subset{Need: d.Need, Due: start.Add(d.Due)}
+	for _, n := range d.Numbers {
+		if n < 0 || n >= len(r.Shards) {
+			return Subset{}, false
+		}
+		s.Shards = append(s.Shards, r.Shards[n])
+	}
+	return s, true
+}
+
+// WriteDelegated writes the headers of the answer to another VM.
+func WriteDelegated(h http.Header, a Answer, work time.Duration) {
+	h.Set(headerSignatures, strings.Join(a.Signatures, ","))
+	h.Set(headerWork, strconv.FormatInt(work.Microseconds(), 10))
+	h.Set(headerMiddle, strconv.FormatInt(a.Took.Microseconds(), 10))
+	h.Set(headerIn, strconv.FormatInt(a.In.Microseconds(), 10))
+	h.Set(headerAttempts, strconv.Itoa(a.Attempts))
+}
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -176,6 +176,7 @@
 	ran        bool
 	bodies     [][]byte
 	signatures []string
+	known      map[string]bool
 	// took holds the time of each server that answered, and in when its shard
 	// was in, since the query came.
 	took     []time.Duration
@@ -185,7 +186,7 @@
 }
 
 func newGathering(q Query, s Subset) *gathering {
-	return &gathering{query: q, subset: s, open: len(s.Shards)}
+	return &gathering{query: q, subset: s, open: len(s.Shards), known: make(map[string]bool, len(s.Shards))}
 }
 
 func (g *gathering) add(e arrival) {
@@ -200,14 +201,13 @@
 	if e.end != Served {
 		return
 	}
-	for _, s := range e.signatures {
-		if slices.Contains(g.signatures, s) {
-			g.reason = "a signature belongs to another shard"
-			return
-		}
+	if slices.ContainsFunc(e.signatures, func(s string) bool { return g.known[s] }) {
+		g.reason = "a signature belongs to another shard"
+		return
 	}
 	g.bodies = append(g.bodies, e.bodies...)
 	for _, s := range e.signatures {
+		g.known[s] = true
 		g.signatures = append(g.signatures, s)
 		g.took = append(g.took, e.took)
 		g.in = append(g.in, e.in)
--- a/shuntrouter/front.go
+++ b/shuntrouter/front.go
@@ -225,6 +225,9 @@
 		}
 	}
 	h.Set("Content-Length", strconv.Itoa(len(res.Reply.Body)))
+	if length := res.Reply.Header.Get("Content-Length"); q.upstream.Method == http.MethodHead && length != "" {
+		h.Set("Content-Length", length)
+	}
 	w.WriteHeader(res.Reply.Code)
 	r.write(w, q.id, res.Reply.Body)
 	return res.Reply.Code
--- a/shuntrouter/front_test.go
+++ b/shuntrouter/front_test.go
@@ -199,6 +199,9 @@
 	if resp.Header.Get("Content-Type") != "" || resp.Header.Get("Kept") != "yes" || resp.Header.Get("Signed") != "i-a" {
 		t.Errorf("the caller got %v", resp.Header)
 	}
+	if resp, _ := f.ask(t, http.MethodHead, "/one/x", ""); resp.StatusCode != http.StatusOK || resp.ContentLength != 16 {
+		t.Errorf("HEAD: got %d, a length of %d", resp.StatusCode, resp.ContentLength)
+	}
 	resp, _ = f.ask(t, http.MethodGet, "/all/x", "")
 	if resp.Header.Get("Parts") == "" || resp.Header.Get("Missing") != "1" || resp.Header.Get("Signed") != "" {
 		t.Errorf("the caller got %v", resp.Header)
