--- a/shuntcatalog/record.go
+++ b/shuntcatalog/record.go
@@ -26,6 +26,29 @@
 	Records  []Record
 }
 
+// WithChanges returns the complete state s with later changes applied.
+func (s State) WithChanges(changes State) State {
+	changed := make(map[string]int, len(changes.Records))
+	for i, r := range changes.Records {
+		if j, ok := changed[r.Key]; !ok || changes.Records[j].Revision < r.Revision {
+			changed[r.Key] = i
+		}
+	}
+	out := State{Revision: max(s.Revision, changes.Revision)}
+	for _, r := range s.Records {
+		if i, ok := changed[r.Key]; !ok || changes.Records[i].Revision <= r.Revision {
+			out.Records = append(out.Records, r)
+			delete(changed, r.Key)
+		}
+	}
+	for _, i := range changed {
+		if r := changes.Records[i]; !r.Removed {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return out
+}
+
 // Delta is the changes after some revision.
 type Delta struct {
 	State
