Few VMs follow the platform at a start and in an outage; a new VM is answered at once

- While a VM can't have heard of the others (3 s), only seeds follow the store.
- Fewer than two readers in a region: the first four VMs of its order try, then one more each 0.5 s.
A VM that reads keeps reading.
- A VM without state that is no reader tries four times less often.
- A VM that becomes a reader watches from the revision that it got from others instead of listing everything again.
- A VM greets the seeds as it starts, and a process that was not known is answered at once, so that newcomers learn who is first within a second.

TestReaders asserted that all ten VMs of a region read while none is answered; that was the fault, at 100 VMs a region. It now checks the number that tries by the time that the outage lasts, and that all of them have tried in the end.

--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -20,8 +20,11 @@
 	// watchTimeoutMargin is added to the wait of a watch to give its timeout,
 	// after which the connection counts as dead.
 	watchTimeoutMargin = 500 * time.Millisecond
-	// meanRetryDelay is the mean delay before a failed platform call is retried.
+	// meanRetryDelay is the mean delay before a failed platform call is retried. A
+	// VM that reads only because it has no state yet waits idleRetryDelay: it gets
+	// the state from whichever VM is first to be answered.
 	meanRetryDelay = 300 * time.Millisecond
+	idleRetryDelay = 1200 * time.Millisecond
 	// watchPause is the pause between watches, so that a burst of changes takes
 	// few calls.
 	watchPause = 400 * time.Millisecond
@@ -164,10 +167,12 @@
 func (f *Follower) followPlatform(ctx context.Context) {
 	failures := failuresBeforeList
 	for ctx.Err() == nil {
-		if !f.config.Peers.ShouldReadPlatform() && f.revision.Load() > 0 {
-			// Other VMs read the platform for this one.
+		reader := f.config.Peers.ShouldReadPlatform()
+		if !reader && f.revision.Load() > 0 {
+			// Other VMs read the platform for this one. Should it become a reader, it
+			// watches from the revision that it got from them.
 			f.recordRead(ctx, errReadByOthers)
-			failures = failuresBeforeList
+			failures = 0
 			shuntgroup.Pause(ctx, peerPollInterval)
 			continue
 		}
@@ -181,7 +186,11 @@
 			failures = failuresBeforeList
 		default:
 			failures++
-			shuntgroup.Pause(ctx, meanRetryDelay/2+f.config.Random.Duration(meanRetryDelay))
+			delay := meanRetryDelay
+			if !reader {
+				delay = idleRetryDelay
+			}
+			shuntgroup.Pause(ctx, delay/2+f.config.Random.Duration(delay))
 		}
 	}
 }
--- a/shuntmember/member_list.go
+++ b/shuntmember/member_list.go
@@ -69,6 +69,9 @@
 	members  map[netip.AddrPort]*member
 	// serverCounts is the number of backend servers in each zone.
 	serverCounts map[string]int
+	// fewReadersSince is since when fewer than minReaders VMs of this VM's region
+	// have reached the platform; zero while enough do.
+	fewReadersSince time.Time
 }
 
 // NewMemberList returns a list that only contains this VM. self.Start is the
@@ -104,6 +107,13 @@
 // Self returns this VM's own report.
 func (l *MemberList) Self() Report { return l.self }
 
+// Knows reports whether the list has a report of r's process or of a later one of
+// the same VM.
+func (l *MemberList) Knows(r Report) bool {
+	m, ok := l.members[r.Address]
+	return r.Address == l.self.Address || (ok && m.report.Start >= r.Start)
+}
+
 // Merge adds the reports from another VM to the list, except those that are
 // older than the ones it has. If a report of this VM has a later start than its
 // own, for example because the clock was set back before a restart, this VM's
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,27 +167,54 @@
 	}
 }
 
-// TestReaders checks that two VMs of each region read from the platform. If
-// these can't reach it, others do.
+// TestReaders checks that two VMs of each region read from the platform. If these
+// can't reach it, others try, and more of them the longer that lasts: a platform that
+// is down must not get the calls of all VMs, and one that turns some VMs away must be
+// read by others.
 func TestReaders(t *testing.T) {
-	readers := func(reports []Report) int {
-		n := 0
-		for i := range reports {
-			if snapshotOf(i, reports).ShouldReadPlatform() {
-				n++
-			}
-		}
-		return n
-	}
-	reports := newReports(30, equalCapacity)
-	if n := readers(reports); n != 3*minReaders {
-		t.Errorf("got %d readers", n)
-	}
-	for i := range reports {
-		reports[i].PlatformReachable = i%3 != 0
+	const perRegion = 40
+	cases := map[string]struct {
+		// reached lists the ranks of the VMs of region a that the platform answers.
+		reached []int
+		after   time.Duration
+		// want is the number of VMs of region a that read or try to.
+		want int
+	}{
+		"the first two":              {[]int{0, 1}, time.Minute, 2},
+		"the first is turned away":   {[]int{1, 2}, time.Minute, 3},
+		"the first nine are":         {[]int{9, 10}, time.Minute, minReadCandidates + 2},
+		"one is answered, for 2 s":   {[]int{0}, 2 * time.Second, minReadCandidates + 4},
+		"nobody, just now":           {nil, 0, minReadCandidates},
+		"nobody, for 3 s":            {nil, 3 * time.Second, minReadCandidates + 6},
+		"nobody, for a minute":       {nil, time.Minute, perRegion},
+		"everybody tries at a start": {[]int{0, 1, 2, 3, 4, 5}, 0, 2},
 	}
-	if n := readers(reports); n != 2*minReaders+10 {
-		t.Errorf("got %d readers while no VM of region a reaches the platform", n)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			reports := newReports(3*perRegion, equalCapacity)
+			ranks := map[netip.AddrPort]int{}
+			for i, r := range snapshotOf(0, reports).regions["a"] {
+				ranks[r.Address] = i
+			}
+			for i := range reports {
+				if rank, ok := ranks[reports[i].Address]; ok {
+					reports[i].PlatformReachable = slices.Contains(c.reached, rank)
+				}
+			}
+			got := 0
+			for i := range reports {
+				l := NewMemberList(reports[i], regionOf)
+				now := time.Now()
+				l.Merge(reports, now)
+				l.Snapshot(now, true)
+				if l.Snapshot(now.Add(c.after), true).ShouldReadPlatform() && regionOf(reports[i].Zone) == "a" {
+					got++
+				}
+			}
+			if got != c.want {
+				t.Errorf("%d VMs of region a read or try to, want %d", got, c.want)
+			}
+		})
 	}
 }
 
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -142,6 +142,7 @@
 func (n *Node) run(ctx context.Context) {
 	l := n.newMemberList()
 	started := time.Now()
+	n.send(n.encodeReports(l), n.config.Seeds())
 	var lastUrgent time.Time
 	t := time.NewTicker(heartbeatInterval)
 	defer t.Stop()
@@ -177,8 +178,15 @@
 // sendReports sends reports to some other VMs. Most datagrams stay in the zone
 // because traffic between regions is expensive.
 func (n *Node) sendReports(l *MemberList, heartbeats int, urgent bool) {
-	b := encodeDatagram(n.config.Guard.Export(maxSuspicions), l.ReportsToSend(n.Snapshot().preferredVMs(), maxOtherReports))
-	for _, a := range n.targets(l, heartbeats, urgent) {
+	n.send(n.encodeReports(l), n.targets(l, heartbeats, urgent))
+}
+
+func (n *Node) encodeReports(l *MemberList) []byte {
+	return encodeDatagram(n.config.Guard.Export(maxSuspicions), l.ReportsToSend(n.Snapshot().preferredVMs(), maxOtherReports))
+}
+
+func (n *Node) send(b []byte, to []netip.AddrPort) {
+	for _, a := range to {
 		if a == n.config.Address {
 			continue
 		}
@@ -235,9 +243,20 @@
 		}
 		n.config.Guard.Merge(suspicions)
 		select {
-		case n.updates <- func(l *MemberList) { l.Merge(reports, time.Now()) }:
+		case n.updates <- func(l *MemberList) { n.merge(l, reports) }:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+// merge adds the reports of a datagram to the list. A process that was not known
+// gets an answer at once: it has just started, and would otherwise hear of the
+// others only when one of them happens to choose it.
+func (n *Node) merge(l *MemberList, reports []Report) {
+	joins := len(reports) > 0 && !l.Knows(reports[0])
+	l.Merge(reports, time.Now())
+	if joins {
+		n.send(n.encodeReports(l), []netip.AddrPort{reports[0].Address})
+	}
+}
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -17,6 +17,12 @@
 	// minReaders is the minimum number of VMs of a region that read from the
 	// platform.
 	minReaders = 2
+	// minReadCandidates is the number of VMs of a region that try to read from the
+	// platform while fewer than minReaders succeed. More of them try with time, one
+	// per readCandidateInterval: an outage may concern some VMs only, but while it
+	// concerns all of them, each further try is one more refused call.
+	minReadCandidates     = 4
+	readCandidateInterval = 500 * time.Millisecond
 	// attemptsPerCore is the number of attempts per second that one core is
 	// planned to handle. It can handle about twice as many.
 	attemptsPerCore = 2000
@@ -83,7 +89,7 @@
 		entries += len(selectEntries(reports, anyAddress))
 	}
 	s.share = s.computeShare(total, entries, settled)
-	s.isReader = s.shouldRead(own)
+	s.isReader = s.shouldRead(own, l.trackReaders(s.regions[own], now))
 	return s
 }
 
@@ -139,23 +145,45 @@
 	return (1 - entryShare) / float64(others)
 }
 
-// shouldRead reports whether this VM should read from the platform, which is
-// the case unless minReaders VMs before it in the order of its region reach the
-// platform.
-func (s *Snapshot) shouldRead(region string) bool {
+// trackReaders returns how long fewer than minReaders of the given VMs have reached
+// the platform.
+func (l *MemberList) trackReaders(reports []Report, now time.Time) time.Duration {
 	readers := 0
-	for _, m := range s.regions[region] {
-		if m.Address == s.self {
-			return true
-		}
-		if m.PlatformReachable {
+	for _, r := range reports {
+		if r.PlatformReachable {
 			readers++
 		}
+	}
+	switch {
+	case readers >= minReaders:
+		l.fewReadersSince = time.Time{}
+		return 0
+	case l.fewReadersSince.IsZero():
+		l.fewReadersSince = now
+	}
+	return now.Sub(l.fewReadersSince)
+}
+
+// shouldRead reports whether this VM should read from the platform: it is among the
+// candidates of its region or already reads, and fewer than minReaders VMs before it
+// in the region's order reach the platform. fewReadersFor is how long the region has
+// had fewer than minReaders.
+func (s *Snapshot) shouldRead(region string, fewReadersFor time.Duration) bool {
+	candidates := minReadCandidates + int(fewReadersFor/readCandidateInterval)
+	readers := 0
+	for i, m := range s.regions[region] {
 		if readers >= minReaders {
 			return false
 		}
+		if m.Address == s.self {
+			return i < candidates || m.PlatformReachable
+		}
+		if m.PlatformReachable {
+			readers++
+		}
 	}
-	return true
+	// This VM is leaving, so it is not listed.
+	return readers < minReaders
 }
 
 // preferredPerRegion is the number of VMs of a region that all other VMs are
--- a/shuntmember/state.go
+++ b/shuntmember/state.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -106,8 +107,16 @@
 	return d, d.Revision > revision
 }
 
-// ShouldReadPlatform implements shuntcatalog.Peers.
-func (n *Node) ShouldReadPlatform() bool { return n.Snapshot().ShouldReadPlatform() }
+// ShouldReadPlatform implements shuntcatalog.Peers. Until a VM has had the time to
+// hear of the others, only the seeds follow the platform: otherwise all VMs of a
+// fleet that starts would do so at once.
+func (n *Node) ShouldReadPlatform() bool {
+	s := n.Snapshot()
+	if !s.settled {
+		return slices.Contains(n.config.Seeds(), n.config.Address)
+	}
+	return s.ShouldReadPlatform()
+}
 
 func fetchState(ctx context.Context, from netip.AddrPort, after int64) (shuntcatalog.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
