Divide wide queries among the entries of a region, each shard in the charge of one VM near its servers

On the large site one VM sent all 180 to 270 attempts of a query: 25 to 38 ms of a core, several times that on a small VM, so the last attempts left after the first had been answered; half of them crossed zones, and each entry learned every server from few requests.

An entry now queries at most 75 shards for each core that it has. Wider queries are divided among the entries of its region by rendezvous hashing weighed by capacity, among those of the zone of the shard's server. It is the mechanism that gathered shards of other regions, with the same rules: one message each way, the same version of routes, shards that a VM may have begun are not asked again. Entries are taken by turns from the zones, and as many as the widest query needs.

Tests: TestDivision (lost, stalled, declined, not reached), TestInCharge.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -40,7 +40,7 @@
 	// IsResponsibleFor reports whether this VM is the one that sends requests to a
 	// cold server.
 	IsResponsibleFor(server string) bool
-	// Delegates returns the VMs in other regions that can gather shards there.
+	// Delegates returns the other VMs that can gather shards for this one.
 	Delegates() []Delegate
 }
 
@@ -48,8 +48,11 @@
 type Config struct {
 	Pool     *shuntupstream.Pool
 	Balancer *shuntbalance.Balancer
-	// Region is the region of this VM.
-	Region string
+	// Self is this VM as others see it.
+	Self Delegate
+	// ShardsPerCore is the number of shards of a query that one core should query at
+	// most. Wider queries are divided among the VMs of the region.
+	ShardsPerCore float64
 	// DelegatePool holds the connections to other VMs, and DelegateBalancer chooses
 	// among those VMs.
 	DelegatePool     *shuntupstream.Pool
@@ -77,6 +80,7 @@
 	config       Config
 	attempts     atomic.Uint64
 	networkTimes networkTimes
+	health       delegateHealth
 }
 
 // New returns a Caller.
@@ -85,6 +89,9 @@
 // Attempts returns the number of attempts made so far.
 func (c *Caller) Attempts() uint64 { return c.attempts.Load() }
 
+// Prune discards what is known of VMs that are no longer used as delegates.
+func (c *Caller) Prune(now time.Time) { c.health.prune(now) }
+
 // Call is one request to one service.
 type Call struct {
 	Route   *shuntroute.Route
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -40,6 +40,7 @@
 	signature string
 	unsigned  bool
 	region    string
+	zone      string
 	cold      bool
 	// maxShards is the maximum number of shards for which a VM answers; 0 if this is
 	// not a VM.
@@ -77,7 +78,7 @@
 			for name, b := range byName {
 				address := service + "/" + name
 				w.behaviors[address] = b
-				s := shuntroute.Server{ID: address, Service: service, Address: address, Slots: 2, Region: "here"}
+				s := shuntroute.Server{ID: address, Service: service, Address: address, Slots: 2, Region: "here", Zone: b.zone}
 				if b.region != "" {
 					s.Region = b.region
 				}
@@ -92,7 +93,7 @@
 		w.caller = New(Config{
 			Pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
 			Balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
-			Region:           "here",
+			Self:             Delegate{Address: "self", Region: "here", Zone: "here-a", Cores: 1},
 			DelegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
 			DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
 			Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
--- a/shuntcall/delegate.go
+++ b/shuntcall/delegate.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntbalance"
@@ -24,24 +26,33 @@
 	// maxDelegateLatencyFraction is the fraction of the latency goal that a VM's
 	// expected latency may take. Beyond it, the shards are queried directly.
 	maxDelegateLatencyFraction = 0.6
+	// stalledFraction is the fraction of the latency goal after the due time at which
+	// a VM that has answered nothing meanwhile is given up: the caller can still try
+	// again elsewhere. A VM that answers others only waits for more shards.
+	stalledFraction = 0.5
 	// initialNetworkTime is the assumed round-trip time to another region until it
-	// has been measured. networkTimeWeight is the weight of a new measurement, and
-	// networkTimeMargin is a safety margin.
+	// has been measured, and initialLocalTime that within this region.
+	// networkTimeWeight is the weight of a new measurement, and networkTimeMargin is a
+	// safety margin.
 	initialNetworkTime = 24 * time.Millisecond
+	initialLocalTime   = 4 * time.Millisecond
 	networkTimeWeight  = 0.2
 	networkTimeMargin  = 2 * time.Millisecond
 )
 
-// Delegate is a VM in another region that gathers shards near it.
+// Delegate is a VM that gathers shards for others.
 type Delegate struct {
 	// Address is the host:port at which it accepts such requests.
 	Address string
 	Region  string
+	Zone    string
+	// Cores is its processor capacity.
+	Cores float64
 }
 
 // server returns the delegate as a server for the balancer and the pool.
 func (d Delegate) server() shuntroute.Server {
-	return shuntroute.Server{ID: d.Address, Address: d.Address, Region: d.Region, Slots: delegateSlots}
+	return shuntroute.Server{ID: d.Address, Address: d.Address, Region: d.Region, Zone: d.Zone, Slots: delegateSlots}
 }
 
 // delegation is a set of shards and the VM that is to gather them.
@@ -50,21 +61,65 @@
 	shards []string
 }
 
-// chooseDelegation chooses a VM in another region to gather shards without a server
-// in this region. For indexes that are spread over regions, one message crosses
-// regions instead of one per shard, and the servers there receive connections from
-// fewer VMs. Routes that are restricted to regions are not delegated.
-func (c *Caller) chooseDelegation(q Query) delegation {
+// divide decides which shards of a query other VMs gather; this VM queries all
+// others. Queries that may crash servers and routes that are restricted to regions
+// are not divided.
+func (c *Caller) divide(q Query) []delegation {
 	if q.Suspect || len(q.Route.Regions) > 0 {
-		return delegation{}
+		return nil
+	}
+	var out []delegation
+	zones := c.localZones(q)
+	if d := c.chooseRemote(q, zones); len(d.shards) > 0 {
+		out = append(out, d)
+	}
+	return append(out, c.divideLocal(zones)...)
+}
+
+// localZones returns, for each shard with a warm, reachable server in this region,
+// the availability zone of such a server.
+func (c *Caller) localZones(q Query) map[string]string {
+	out := make(map[string]string, len(q.Route.Shards))
+	for _, shard := range q.Route.Shards {
+		if zone, ok := c.reachableZone(shard, c.config.Self.Region); ok {
+			out[shard] = zone
+		}
 	}
-	remote := c.remoteShards(q)
+	return out
+}
+
+// reachableZone returns the zone of a warm, reachable server of the service in the
+// region, preferably this VM's zone. It returns false if there is none.
+func (c *Caller) reachableZone(service, region string) (zone string, ok bool) {
+	now := time.Now()
+	for _, s := range c.config.View().Servers(service) {
+		if s.Region != region || s.Cold(now) || !s.DelistedAt.IsZero() || c.config.Balancer.RecentlyUnreachable(s) {
+			continue
+		}
+		if zone, ok = s.Zone, true; zone == c.config.Self.Zone {
+			return zone, true
+		}
+	}
+	return zone, ok
+}
+
+// chooseRemote chooses a VM in another region to gather the shards that have no
+// server in this one. For indexes that are spread over regions, one message crosses
+// regions instead of one per shard, and the servers there receive connections from
+// fewer VMs.
+func (c *Caller) chooseRemote(q Query, localZones map[string]string) delegation {
+	remote := slices.DeleteFunc(slices.Clone(q.Route.Shards), func(shard string) bool {
+		_, local := localZones[shard]
+		return local
+	})
 	if len(remote) < minDelegatedShards {
 		return delegation{}
 	}
 	var candidates []shuntroute.Server
 	for _, d := range c.config.Fleet.Delegates() {
-		candidates = append(candidates, d.server())
+		if d.Region != c.config.Self.Region {
+			candidates = append(candidates, d.server())
+		}
 	}
 	if len(candidates) == 0 {
 		return delegation{}
@@ -73,31 +128,71 @@
 	if !ok || c.config.DelegateBalancer.ExpectedLatency(to) > time.Duration(maxDelegateLatencyFraction*float64(q.Route.LatencyGoal)) {
 		return delegation{}
 	}
-	shards := slices.DeleteFunc(remote, func(shard string) bool { return !c.hasReachableServer(shard, to.Region) })
+	shards := slices.DeleteFunc(remote, func(shard string) bool {
+		_, ok := c.reachableZone(shard, to.Region)
+		return !ok
+	})
 	if len(shards) < minDelegatedShards {
 		return delegation{}
 	}
 	return delegation{to, shards}
 }
 
-// remoteShards returns the query's shards without a reachable server in this region.
-func (c *Caller) remoteShards(q Query) []string {
-	var out []string
-	for _, shard := range q.Route.Shards {
-		if !c.hasReachableServer(shard, c.config.Region) {
-			out = append(out, shard)
+// divideLocal divides the shards with a server in this region among its entries, if
+// they are too many for this VM: it would send the last attempts only after the
+// first have been answered. Each shard is in the charge of one VM, near its servers,
+// so that this VM knows the servers well, and its connections are used often.
+func (c *Caller) divideLocal(localZones map[string]string) []delegation {
+	if float64(len(localZones)) <= c.config.ShardsPerCore*c.config.Self.Cores {
+		return nil
+	}
+	vms := []Delegate{c.config.Self}
+	now := time.Now()
+	for _, d := range c.config.Fleet.Delegates() {
+		if d.Region == c.config.Self.Region && c.health.usable(d.Address, now) {
+			vms = append(vms, d)
+		}
+	}
+	byAddress := map[string]*delegation{}
+	for shard, zone := range localZones {
+		vm := inCharge(shard, zone, vms)
+		if vm.Address == c.config.Self.Address {
+			continue
+		}
+		d := byAddress[vm.Address]
+		if d == nil {
+			d = &delegation{to: vm.server()}
+			byAddress[vm.Address] = d
+		}
+		d.shards = append(d.shards, shard)
+	}
+	var out []delegation
+	for _, d := range byAddress {
+		if len(d.shards) >= minDelegatedShards {
+			out = append(out, *d)
 		}
 	}
 	return out
 }
 
-// hasReachableServer reports whether the service has a warm, reachable server in the
-// region.
-func (c *Caller) hasReachableServer(service, region string) bool {
-	now := time.Now()
-	return slices.ContainsFunc(c.config.View().Servers(service), func(s shuntroute.Server) bool {
-		return s.Region == region && !s.Cold(now) && s.DelistedAt.IsZero() && !c.config.Balancer.RecentlyUnreachable(s)
-	})
+// inCharge returns the VM that is in charge of a shard whose server is in the zone:
+// by weighted rendezvous hashing among the VMs of the zone, or among all if there is
+// none.
+func inCharge(shard, zone string, vms []Delegate) Delegate {
+	anyZone := !slices.ContainsFunc(vms, func(d Delegate) bool { return d.Zone == zone })
+	var best Delegate
+	bestScore := -1.0
+	for _, d := range vms {
+		if !anyZone && d.Zone != zone {
+			continue
+		}
+		// The hash becomes a number above 0 and below 1.
+		point := (float64(xxhash.Sum64String(shard+" "+d.Address)>>11) + 0.5) / (1 << 53)
+		if score := -d.Cores / math.Log(point); score > bestScore {
+			best, bestScore = d, score
+		}
+	}
+	return best
 }
 
 // askDelegate has another VM gather the shards. If that VM certainly has not begun,
@@ -105,10 +200,24 @@
 // their allowed attempts, so they are not queried again.
 func (c *Caller) askDelegate(ctx context.Context, q Query, s Subset, d delegation, results chan<- shardResult) {
 	sent := time.Now()
-	due := time.Until(s.Due) - c.networkTimes.estimate(d.to.ID) - networkTimeMargin
+	initial := initialNetworkTime
+	if d.to.Region == c.config.Self.Region {
+		initial = initialLocalTime
+	}
+	due := time.Until(s.Due) - c.networkTimes.estimate(d.to.ID, initial) - networkTimeMargin
 	r := delegatedRequest(q, s, d.shards, due)
 	a := c.config.DelegateBalancer.Begin(d.to)
-	o := c.config.DelegatePool.Do(ctx, shuntupstream.Server{ID: d.to.ID, Address: d.to.Address, MaxConns: delegateConns}, true, r)
+	open := c.health.begin(d.to.ID, s.Due)
+	partCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stalled := time.AfterFunc(time.Until(s.Due)+time.Duration(stalledFraction*float64(q.Route.LatencyGoal)), func() {
+		if !c.health.heardSince(d.to.ID, sent) {
+			cancel()
+		}
+	})
+	defer stalled.Stop()
+	o := c.config.DelegatePool.Do(partCtx, shuntupstream.Server{ID: d.to.ID, Address: d.to.Address, MaxConns: delegateConns}, true, r)
+	c.health.end(d.to.ID, open, time.Now(), o.Status == shuntupstream.Answered, o.Status == shuntupstream.Cancelled)
 	c.config.DelegateBalancer.End(d.to, a, balancerResult(o))
 	if !o.Status.MayHaveRun() {
 		c.config.Metrics.delegated[Refused].Add(len(d.shards))
@@ -121,7 +230,7 @@
 		}
 		return
 	}
-	e, work := parseDelegateReply(o, len(d.shards))
+	e, work := parseDelegateReply(o, d.to.ID, len(d.shards))
 	c.config.Metrics.delegated[e.status].Add(len(d.shards))
 	if e.status == Served {
 		networkTime := time.Since(sent) - work
@@ -140,13 +249,14 @@
 	times map[string]time.Duration
 }
 
-func (t *networkTimes) estimate(vm string) time.Duration {
+// estimate returns the average time to the VM, or initial if none was measured.
+func (t *networkTimes) estimate(vm string, initial time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if d, ok := t.times[vm]; ok {
 		return d
 	}
-	return initialNetworkTime
+	return initial
 }
 
 func (t *networkTimes) add(vm string, d time.Duration) {
--- a/shuntcall/delegate_headers.go
+++ b/shuntcall/delegate_headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,9 +31,13 @@
 func delegatedRequest(q Query, s Subset, shards []string, due time.Duration) shuntupstream.Request {
 	r := q.Request
 	r.Header = r.Header.Clone()
+	indexes := make(map[string]int, len(q.Route.Shards))
+	for i, shard := range q.Route.Shards {
+		indexes[shard] = i
+	}
 	numbers := make([]string, len(shards))
 	for i, shard := range shards {
-		numbers[i] = strconv.Itoa(slices.Index(q.Route.Shards, shard))
+		numbers[i] = strconv.Itoa(indexes[shard])
 	}
 	// Shards that this VM does not delegate may all answer, so the delegate may
 	// miss as many shards as the whole subset may.
@@ -49,7 +52,7 @@
 
 // parseDelegateReply parses another VM's response for a number of shards. It also
 // returns how long that VM worked on them.
-func parseDelegateReply(o shuntupstream.Outcome, shards int) (shardResult, time.Duration) {
+func parseDelegateReply(o shuntupstream.Outcome, vm string, shards int) (shardResult, time.Duration) {
 	out := shardResult{shards: shards, status: Faulted, reason: errorText(o.Err)}
 	if o.Status != shuntupstream.Answered {
 		return out, 0
@@ -71,7 +74,7 @@
 	out.status, out.signatures, out.bodies = Served, signatures, [][]byte{o.Reply.Body}
 	out.latency, out.elapsed, out.attempts = time.Duration(median)*time.Microsecond, time.Duration(elapsed)*time.Microsecond, attempts
 	if len(signatures) < shards {
-		out.reason = "missing at another VM"
+		out.reason = "missing at VM " + vm
 	}
 	return out, time.Duration(work) * time.Microsecond
 }
--- a/shuntcall/delegate_test.go
+++ b/shuntcall/delegate_test.go
@@ -176,3 +176,91 @@
 		}
 	}
 }
+
+// TestDivision replays queries to 180 shards, half of them in each zone of the region,
+// on a VM that can query 60 in time. The other shards are gathered by the entry of
+// their zone. If that one is lost in the middle of a query, the next query is answered
+// in time without it.
+func TestDivision(t *testing.T) {
+	const shards, remote = 180, 90
+	cases := map[string]struct {
+		// vm is the behavior of the entry in the other zone.
+		vm    behavior
+		cores float64
+		// status and missing are those of the first query.
+		status  CallStatus
+		missing int
+		// direct is the number of requests to servers of the other zone in both
+		// queries together, and delegated the number of requests to the entry there.
+		direct, delegated int
+	}{
+		"gathered":        {vm: behavior{after: fast, maxShards: remote}, cores: 0.8, status: Served, delegated: 2},
+		"able to do both": {vm: behavior{after: fast, maxShards: remote}, cores: 4, status: Served, direct: 2 * remote},
+		"declined":        {vm: behavior{declines: -1}, cores: 0.8, status: Served, direct: 2 * remote, delegated: 1},
+		"not reached":     {vm: behavior{unreachable: true}, cores: 0.8, status: Served, direct: 2 * remote},
+		"lost":            {vm: behavior{after: 2 * fast, broken: true}, cores: 0.8, status: Faulted, missing: remote, direct: remote, delegated: 1},
+		"stalled":         {vm: behavior{responseHangs: true}, cores: 0.8, status: Faulted, missing: remote, direct: remote, delegated: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			route := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, MinCoverage: 0.95, TopRecords: 3}
+			services := map[string]map[string]behavior{}
+			for i := range shards {
+				shard, zone := fmt.Sprintf("s%03d", i), "here-a"
+				if i < remote {
+					zone = "here-b"
+				}
+				route.Shards = append(route.Shards, shard)
+				services[shard] = map[string]behavior{zone: {after: fast, zone: zone}}
+			}
+			run(t, services, func(t *testing.T, w *testCluster) {
+				w.behaviors["vm"] = c.vm
+				w.delegates = []Delegate{{Address: "vm", Region: "here", Zone: "here-b", Cores: 0.8}}
+				w.caller.config.Self.Cores, w.caller.config.ShardsPerCore = c.cores, 75
+				ask := func() (Answer, time.Duration) {
+					ctx, cancel := context.WithTimeout(t.Context(), deadline)
+					defer cancel()
+					start := time.Now()
+					a := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: w.request(start), Start: start})
+					return a, time.Since(start)
+				}
+				if a, took := ask(); a.Status != c.status || a.Missing != c.missing || took > goal*3/2 {
+					t.Errorf("first query: %v after %v, %d missing (%s); want %v, %d", a.Status, took, a.Missing, a.Reason, c.status, c.missing)
+				}
+				if a, took := ask(); a.Status != Served || a.Missing > 0 || took > goal/2 {
+					t.Errorf("second query: %v after %v, %d missing (%s)", a.Status, took, a.Missing, a.Reason)
+				}
+				if direct := w.requestsTo("/here-b"); direct != c.direct || w.arrivals["vm"] != c.delegated {
+					t.Errorf("%d requests reached the servers of the other zone, %d its entry; want %d, %d", direct, w.arrivals["vm"], c.direct, c.delegated)
+				}
+			})
+		})
+	}
+}
+
+// TestInCharge checks that shards are spread over the VMs of their zone by capacity,
+// and that the loss of a VM moves only the shards that it was in charge of.
+func TestInCharge(t *testing.T) {
+	vms := []Delegate{{Address: "1", Zone: "a", Cores: 0.8}, {Address: "2", Zone: "a", Cores: 0.8}, {Address: "3", Zone: "a", Cores: 0.4}, {Address: "4", Zone: "b", Cores: 0.2}}
+	const shards = 1000
+	counts := map[string]int{}
+	for i := range shards {
+		shard := fmt.Sprint("shard", i)
+		before, after := inCharge(shard, "a", vms), inCharge(shard, "a", vms[1:])
+		counts[before.Address]++
+		if before.Address != "1" && before != after {
+			t.Errorf("%s moved from VM %s to %s as VM 1 was lost", shard, before.Address, after.Address)
+		}
+		if d := inCharge(shard, "b", vms); d.Address != "4" {
+			t.Errorf("VM %s is in charge of a server in zone b", d.Address)
+		}
+	}
+	for vm, want := range map[string]int{"1": 400, "2": 400, "3": 200} {
+		if got := counts[vm]; got < want*8/10 || got > want*12/10 {
+			t.Errorf("VM %s is in charge of %d shards, want about %d", vm, got, want)
+		}
+	}
+	if inCharge("x", "elsewhere", vms).Address == "" {
+		t.Error("no VM is in charge of a server in a zone without entries")
+	}
+}
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -95,26 +95,30 @@
 		return Answer{Status: Refused, Missing: len(q.Route.Shards), Reason: "the servers carry no more queries"}
 	}
 	g := newQueryState(q, q.allShards())
-	a := c.gather(ctx, q, g, c.chooseDelegation(q))
+	a := c.gather(ctx, q, g, c.divide(q))
 	c.config.Throttle.RecordCompletion(q.index(), g.loadTime(), q.Route.LatencyGoal, len(g.signatures) >= g.subset.MinShards)
 	return a
 }
 
 // Gather queries one server of each shard of the subset on behalf of another VM.
 func (c *Caller) Gather(ctx context.Context, q Query, s Subset) Answer {
-	return c.gather(ctx, q, newQueryState(q, s), delegation{})
+	return c.gather(ctx, q, newQueryState(q, s), nil)
 }
 
-func (c *Caller) gather(ctx context.Context, q Query, g *queryState, d delegation) Answer {
+func (c *Caller) gather(ctx context.Context, q Query, g *queryState, delegations []delegation) Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan shardResult, len(g.subset.Shards))
 	running := true
-	if len(d.shards) > 0 {
-		running = c.config.Group.Go(func() { c.askDelegate(ctx, q, g.subset, d, results) })
+	delegated := map[string]bool{}
+	for _, d := range delegations {
+		for _, shard := range d.shards {
+			delegated[shard] = true
+		}
+		running = running && c.config.Group.Go(func() { c.askDelegate(ctx, q, g.subset, d, results) })
 	}
 	for _, shard := range g.subset.Shards {
-		if !slices.Contains(d.shards, shard) {
+		if !delegated[shard] {
 			running = running && c.config.Group.Go(func() { results <- c.askShard(ctx, q, shard) })
 		}
 	}
--- a/shuntcall/scatter_benchmark_test.go
+++ b/shuntcall/scatter_benchmark_test.go
@@ -51,11 +51,11 @@
 	}
 	table := shuntroute.NewTable(config)
 	view := shuntroute.NewView(table, 1, servers, nil)
-	headers := shuntupstream.Headers{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Instance: "X-Expect-Instance", NotRun: "X-Not-Executed", Signature: "X-Server-Stamp"}
+	headers := shuntupstream.Headers{RequestID: "Request-Identity", Deadline: "Remaining-Ms", Instance: "Instance-Wanted", NotRun: "Not-Run", Signature: "Signature"}
 	c := New(Config{
 		Pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: headers, Group: &group}),
 		Balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
-		Region:           "here",
+		Self:             Delegate{Address: "self", Region: "here", Zone: "here-a", Cores: 1},
 		DelegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: headers, Group: &group}),
 		DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
 		Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: aloneFleet{}.Share}),
@@ -103,14 +103,14 @@
 				if err != nil {
 					return
 				}
-				if v, ok := bytes.CutPrefix(line, []byte("X-Request-Id: ")); ok {
+				if v, ok := bytes.CutPrefix(line, []byte("Request-Identity: ")); ok {
 					id = append(id[:0], bytes.TrimSpace(v)...)
 				}
 				if len(line) > 2 {
 					continue
 				}
 				n++
-				out = fmt.Appendf(out[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nX-Request-Id: %s\r\nX-Server-Stamp: %p.%x\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, r, n, len(body), body)
+				out = fmt.Appendf(out[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nRequest-Identity: %s\r\nSignature: %p.%x\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, r, n, len(body), body)
 				if _, err := c.Write(out); err != nil {
 					return
 				}
--- a/shuntmember/member_list.go
+++ b/shuntmember/member_list.go
@@ -69,6 +69,8 @@
 	members  map[netip.AddrPort]*member
 	// serverCounts is the number of backend servers in each zone.
 	serverCounts map[string]int
+	// queryWidth is the number of shards of the widest queries.
+	queryWidth int
 	// fewReadersSince is since when fewer than minReaders VMs of this VM's region
 	// have reached the platform; zero while enough do.
 	fewReadersSince time.Time
@@ -97,6 +99,9 @@
 // SetServerCounts sets the number of backend servers in each zone.
 func (l *MemberList) SetServerCounts(byZone map[string]int) { l.serverCounts = byZone }
 
+// SetQueryWidth sets the number of shards of the widest queries.
+func (l *MemberList) SetQueryWidth(shards int) { l.queryWidth = shards }
+
 // SetPlatformReachable sets whether the platform answers this VM.
 func (l *MemberList) SetPlatformReachable(reachable bool) { l.self.PlatformReachable = reachable }
 
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -26,6 +26,13 @@
 	// attemptsPerCore is the number of attempts per second that one core is
 	// planned to handle. It can handle about twice as many.
 	attemptsPerCore = 2000
+	// ShardsPerCore is the number of shards of one query that one core is planned to
+	// query. The entries of a region divide queries to more shards: the attempts of a
+	// query come all at once, and the last of them waits for all others.
+	ShardsPerCore = 75
+	// maxDividingEntries is the number of entries of a region beyond which no more
+	// are added for the sake of queries to many shards.
+	maxDividingEntries = preferredPerRegion
 	// entryShare is the part of the common limits that is divided among the
 	// entries. The rest is divided among the other VMs, which few callers
 	// reach.
@@ -42,8 +49,7 @@
 type Snapshot struct {
 	self netip.AddrPort
 	// regions holds the VMs of each region that are alive and not leaving, in
-	// the order of preference for callers: VMs with more capacity first, then
-	// VMs in zones with more backend servers.
+	// the order of preference for callers.
 	regions  map[string][]Report
 	entries  map[netip.AddrPort]bool
 	share    float64
@@ -78,7 +84,7 @@
 	}
 	for _, reports := range s.regions {
 		l.sort(reports)
-		for _, e := range selectEntries(reports, fresh) {
+		for _, e := range l.selectEntries(reports, fresh) {
 			s.entries[e.Address] = true
 		}
 	}
@@ -86,41 +92,55 @@
 	for _, reports := range known {
 		l.sort(reports)
 		total += len(reports)
-		entries += len(selectEntries(reports, anyAddress))
+		entries += len(l.selectEntries(reports, anyAddress))
 	}
 	s.share = s.computeShare(total, entries, settled)
 	s.isReader = s.shouldRead(own, l.trackReaders(s.regions[own], now))
 	return s
 }
 
-// sort sorts reports in the order of preference for callers.
+// sort sorts reports in the order of preference for callers: VMs with more capacity
+// first, then VMs in zones that have backend servers, by turns from each zone.
 func (l *MemberList) sort(reports []Report) {
+	byWeight := func(a, b Report) int { return cmp.Compare(weight(a.Address, ""), weight(b.Address, "")) }
 	slices.SortFunc(reports, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(l.serverCounts[b.Zone], l.serverCounts[a.Zone]), cmp.Compare(weight(a.Address, ""), weight(b.Address, "")))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Zone, b.Zone), byWeight(a, b))
+	})
+	turns := make(map[netip.AddrPort]int, len(reports))
+	for i, r := range reports {
+		if i > 0 && reports[i-1].Capacity == r.Capacity && reports[i-1].Zone == r.Zone {
+			turns[r.Address] = turns[reports[i-1].Address] + 1
+		}
+	}
+	hasServers := func(r Report) int { return min(1, l.serverCounts[r.Zone]) }
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(hasServers(b), hasServers(a)), cmp.Compare(turns[a.Address], turns[b.Address]),
+			cmp.Compare(l.serverCounts[b.Zone], l.serverCounts[a.Zone]), byWeight(a, b))
 	})
 }
 
 func anyAddress(netip.AddrPort) bool { return true }
 
 // selectEntries returns the VMs of a region that callers are sent to. It
-// selects as few as can handle the region's load: each of them then sees more
-// of the traffic to every backend server, and together they hold fewer
-// connections. reports must be in the order of preference. VMs that are not
-// fresh are skipped.
-func selectEntries(reports []Report, fresh func(netip.AddrPort) bool) []Report {
+// selects as few as can handle the region's load and divide the widest queries:
+// each of them then sees more of the traffic to every backend server, and together
+// they hold fewer connections. reports must be in the order of preference. VMs that
+// are not fresh are skipped.
+func (l *MemberList) selectEntries(reports []Report, fresh func(netip.AddrPort) bool) []Report {
 	load := 0.0
 	for _, r := range reports {
 		load += float64(r.Load)
 	}
 	var out []Report
-	carried := 0.0
+	cores := 0.0
 	for _, r := range reports {
-		if len(out) >= minEntries && carried >= load {
+		wide := cores*ShardsPerCore >= float64(l.queryWidth) || len(out) >= maxDividingEntries
+		if len(out) >= minEntries && cores*attemptsPerCore >= load && wide {
 			break
 		}
 		if r.Serving && fresh(r.Address) {
 			out = append(out, r)
-			carried += float64(r.Capacity) / 1000 * attemptsPerCore
+			cores += float64(r.Capacity) / 1000
 		}
 	}
 	return out
@@ -189,7 +209,7 @@
 // preferredPerRegion is the number of VMs of a region that all other VMs are
 // kept well informed about: the entries and those that follow them in the order
 // of preference.
-const preferredPerRegion = 2 * minEntries
+const preferredPerRegion = 3 * minEntries
 
 // preferredVMs returns the preferred VMs of all regions.
 func (s *Snapshot) preferredVMs() []netip.AddrPort {
@@ -271,13 +291,15 @@
 	return out
 }
 
-// RemoteEntries returns the VMs that callers are sent to in each region except
-// own.
-func (s *Snapshot) RemoteEntries(own string) map[string][]netip.AddrPort {
-	out := map[string][]netip.AddrPort{}
-	for region := range s.regions {
-		if region != own {
-			out[region] = s.entryAddresses(region)
+// OtherEntries returns the VMs of all regions that callers are sent to, except this
+// one.
+func (s *Snapshot) OtherEntries() []Report {
+	var out []Report
+	for _, region := range slices.Sorted(maps.Keys(s.regions)) {
+		for _, m := range s.regions[region] {
+			if s.entries[m.Address] && m.Address != s.self {
+				out = append(out, m)
+			}
 		}
 	}
 	return out
--- a/shuntroute/table.go
+++ b/shuntroute/table.go
@@ -60,6 +60,17 @@
 	return nil, false
 }
 
+// Width returns the number of shards of the widest queries.
+func (t *Table) Width() int {
+	width := 0
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			width = max(width, len(r.Shards))
+		}
+	}
+	return width
+}
+
 // Regions returns the union of the regions to which the host's routes are
 // restricted, or nil if any route of the host is unrestricted.
 func (t *Table) Regions(host string) []string {
--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -33,20 +33,21 @@
 // fleet implements shuntcall.Fleet.
 type fleet struct {
 	*shuntmember.Node
-	region string
+	regionByZone map[string]string
 }
 
-// Delegates returns the VMs of other regions that may query shards for this one.
+// Delegates returns the other entries, which may query shards for this VM.
 func (f fleet) Delegates() []shuntcall.Delegate {
 	var out []shuntcall.Delegate
-	for region, vms := range f.Snapshot().RemoteEntries(f.region) {
-		for _, vm := range vms {
-			out = append(out, shuntcall.Delegate{Address: shardAddress(vm).String(), Region: region})
-		}
+	for _, m := range f.Snapshot().OtherEntries() {
+		out = append(out, shuntcall.Delegate{Address: shardAddress(m.Address).String(), Region: f.regionByZone[m.Zone], Zone: m.Zone, Cores: cores(m.Capacity)})
 	}
 	return out
 }
 
+// cores converts a capacity in thousandths of a core.
+func cores(capacity uint32) float64 { return float64(capacity) / 1000 }
+
 // listenDelegated serves delegated queries from other VMs until ctx ends. If it
 // can't listen, the other VMs query the shards themselves.
 func (r *Router) listenDelegated(ctx context.Context) {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -120,7 +120,8 @@
 		OnPlatformReachable: func(ok bool) { r.node.Update(func(m *shuntmember.MemberList) { m.SetPlatformReachable(ok) }) },
 	})
 	r.caller = shuntcall.New(shuntcall.Config{
-		Pool: r.pool, Balancer: r.balancer, ColdLimiter: r.coldLimiter, Fleet: fleet{r.node, s.Region}, Region: s.Region,
+		Pool: r.pool, Balancer: r.balancer, ColdLimiter: r.coldLimiter, Fleet: fleet{r.node, s.RegionByZone},
+		Self: shuntcall.Delegate{Address: shardAddress(s.PeerAddress).String(), Region: s.Region, Zone: s.Zone, Cores: cores(s.Capacity)}, ShardsPerCore: shuntmember.ShardsPerCore,
 		DelegatePool: r.delegatePool, DelegateBalancer: r.delegateBalancer, Group: c.Group, View: r.follower.View, Headers: c.Headers.Upstream,
 		Budget: shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{
 			Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Share: r.node.Share,
@@ -152,8 +153,12 @@
 
 // publishView tells the other VMs about the current view.
 func (r *Router) publishView(v *shuntroute.View) {
-	byZone := v.CountByZone()
+	byZone, width := v.CountByZone(), 0
+	if v.Table != nil {
+		width = v.Table.Width()
+	}
 	r.node.Update(func(m *shuntmember.MemberList) {
+		m.SetQueryWidth(width)
 		m.SetRevision(v.Revision)
 		m.SetServing(v.Table != nil)
 		m.SetServerCounts(byZone)
@@ -176,6 +181,7 @@
 			r.balancer.Prune(now)
 			r.delegatePool.CloseExpired(now)
 			r.delegateBalancer.Prune(now)
+			r.caller.Prune(now)
 			r.coldLimiter.Prune(now)
 			r.throttle.Prune(now)
 		case <-ctx.Done():
