Refuse what is known to be unservable, hedge by the servers' latency, and only where a server can be reached

- Too many shards without a server that can be asked (not listed, unreachable, cold and in another VM's charge): the query was sent to all others and ended with 502 after a millisecond.
It is now refused before anything is sent.
- A hedge waits for three times the server's typical latency at most, a third of the goal as before.
With 180 shards nearly every query waits for hedges: paused servers are 4 in 100.

--- a/shuntbalance/balancer.go
+++ b/shuntbalance/balancer.go
@@ -191,6 +191,8 @@
 type ChooseOptions struct {
 	// Exclude lists servers that must not be chosen.
 	Exclude []Incarnation
+	// Reachable excludes servers that were recently unreachable.
+	Reachable bool
 }
 
 func (c ChooseOptions) excludes(s shuntroute.Server) bool {
@@ -203,9 +205,9 @@
 }
 
 // Choose returns the server with the lowest expected latency. Unhealthy servers
-// are a last resort and never ruled out, because all servers of a shard may look
-// unhealthy. It returns false only if every server is excluded or has lost its
-// address to another server.
+// are a last resort and not ruled out unless c says so, because all servers of a
+// shard may look unhealthy. It returns false if every server is excluded or has lost
+// its address to another server.
 func (b *Balancer) Choose(servers []shuntroute.Server, c ChooseOptions) (shuntroute.Server, bool) {
 	now := time.Now()
 	b.mu.Lock()
@@ -217,7 +219,7 @@
 			continue
 		}
 		r := b.stats(s)
-		if r.addressReused {
+		if r.addressReused || (c.Reachable && now.Before(r.unreachableUntil)) {
 			continue
 		}
 		latency := b.expectedLatency(s, r, now)
@@ -264,6 +266,14 @@
 	return expected
 }
 
+// TypicalLatency returns the average latency of requests at s, without the effects of
+// open requests and failures.
+func (b *Balancer) TypicalLatency(s shuntroute.Server) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats(s).latency
+}
+
 // ExpectedLatency returns the expected latency of one more request at s. It is high
 // if s stalls or was recently unreachable.
 func (b *Balancer) ExpectedLatency(s shuntroute.Server) time.Duration {
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -28,6 +28,10 @@
 	// connWaitFraction is the fraction of the latency goal for which an attempt waits
 	// while all of this VM's connections to a server are in use.
 	connWaitFraction = 0.5
+	// hedgeLatencyFactor is the multiple of a server's typical latency after which its
+	// answer is late, and minHedgeDelay the least time before it counts as late.
+	hedgeLatencyFactor = 3
+	minHedgeDelay      = 10 * time.Millisecond
 	// connReserve is the fraction of a server's connections that is left unused for
 	// VMs that do not know of each other yet.
 	connReserve = 0.2
@@ -98,7 +102,9 @@
 	Service shuntroute.Service
 	Request shuntupstream.Request
 	// HedgeAfter is the time after which a second server is tried; 0 disables hedging.
-	HedgeAfter time.Duration
+	// With HedgeByLatency, that is earlier if the first server usually answers faster.
+	HedgeAfter     time.Duration
+	HedgeByLatency bool
 	// Fingerprint identifies the content of the request. SingleServer allows the
 	// request to run on one server only.
 	Fingerprint  uint64
@@ -167,14 +173,15 @@
 	defer cancel()
 	c.config.Budget.RecordRequest(in.Service.Name)
 	r := &call{caller: c, call: in, ctx: ctx, started: time.Now(), results: make(chan attemptResult, maxRequestsSent)}
-	if !r.launch("First") {
+	first, ok := r.choose(false)
+	if !ok || !r.launch("First", first) {
 		return r.finish("no backend server can be asked")
 	}
-	return r.loop()
+	return r.loop(first)
 }
 
-func (r *call) loop() Result {
-	hedge := r.hedgeTimer()
+func (r *call) loop(first shuntroute.Server) Result {
+	hedge := r.hedgeTimer(first)
 	defer hedge.Stop()
 	for {
 		select {
@@ -184,9 +191,7 @@
 				return res
 			}
 		case <-hedge.C:
-			if r.mayLaunch() && r.takeBudget(hedgeReserve) {
-				r.launch("Hedge")
-			}
+			r.hedge()
 		case <-r.ctx.Done():
 			r.drain()
 			return r.finish(r.ctx.Err().Error())
@@ -206,13 +211,28 @@
 	}
 }
 
-func (r *call) hedgeTimer() *time.Timer {
+func (r *call) hedgeTimer(first shuntroute.Server) *time.Timer {
 	if r.call.HedgeAfter <= 0 || !r.call.Route.Idempotent {
 		t := time.NewTimer(time.Hour)
 		t.Stop()
 		return t
 	}
-	return time.NewTimer(r.call.HedgeAfter)
+	after := r.call.HedgeAfter
+	if r.call.HedgeByLatency {
+		after = min(after, max(minHedgeDelay, hedgeLatencyFactor*r.caller.config.Balancer.TypicalLatency(first)))
+	}
+	return time.NewTimer(after)
+}
+
+// hedge tries a second server if there is one that can be reached; the budget is not
+// spent on others.
+func (r *call) hedge() {
+	if !r.mayLaunch() {
+		return
+	}
+	if s, ok := r.choose(true); ok && r.takeBudget(hedgeReserve) {
+		r.launch("Hedge", s)
+	}
 }
 
 // handleResult processes the result of one attempt and reports whether the call is
@@ -284,11 +304,12 @@
 		return false
 	}
 	free := e.outcome.Status == shuntupstream.NotSent || e.outcome.Status == shuntupstream.NoRoom
+	s, ok := r.choose(true)
 	if !free && !r.takeBudget(0) {
 		return false
 	}
-	if r.launch("Retry") {
-		return true
+	if ok {
+		return r.launch("Retry", s)
 	}
 	if r.open > 0 || e.outcome.Status == shuntupstream.Misdirected || e.outcome.Status == shuntupstream.NotSent || e.outcome.Status.MayHaveRun() {
 		return false
@@ -298,18 +319,15 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return r.launch("Retry")
+		s, ok := r.choose(false)
+		return ok && r.launch("Retry", s)
 	case <-r.ctx.Done():
 		return false
 	}
 }
 
-// launch starts an attempt at the best remaining server.
-func (r *call) launch(why string) bool {
-	s, ok := r.choose()
-	if !ok {
-		return false
-	}
+// launch starts an attempt at the server.
+func (r *call) launch(why string, s shuntroute.Server) bool {
 	r.tried = append(r.tried, shuntbalance.IncarnationOf(s))
 	r.attempts++
 	r.open++
@@ -325,9 +343,10 @@
 	return true
 }
 
-// choose returns a warm server or, if there is none, a cold server whose rate limit
-// allows the request.
-func (r *call) choose() (shuntroute.Server, bool) {
+// choose returns the best remaining server: a warm one or, if there is none, a cold
+// one whose rate limit allows the request. reachable excludes servers that were
+// recently unreachable.
+func (r *call) choose(reachable bool) (shuntroute.Server, bool) {
 	c := r.caller.config
 	now := time.Now()
 	all := c.View().Servers(r.call.Service.Name)
@@ -342,11 +361,11 @@
 			warm = append(warm, s)
 		}
 	}
-	if s, ok := c.Balancer.Choose(warm, shuntbalance.ChooseOptions{Exclude: r.tried}); ok {
+	if s, ok := c.Balancer.Choose(warm, shuntbalance.ChooseOptions{Exclude: r.tried, Reachable: reachable}); ok {
 		return s, true
 	}
 	cold = slices.DeleteFunc(cold, func(s shuntroute.Server) bool { return !c.Fleet.IsResponsibleFor(s.ID) })
-	s, ok := c.Balancer.Choose(cold, shuntbalance.ChooseOptions{Exclude: r.tried})
+	s, ok := c.Balancer.Choose(cold, shuntbalance.ChooseOptions{Exclude: r.tried, Reachable: reachable})
 	if !ok || !c.ColdLimiter.Allow(shuntbalance.IncarnationOf(s), c.ColdRate(r.call.Service)) {
 		return shuntroute.Server{}, false
 	}
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -16,7 +16,7 @@
 	// reaches the caller in time.
 	answerMargin = 25 * time.Millisecond
 	// hedgeFraction is the fraction of the latency goal after which a second server of
-	// a shard is tried.
+	// a shard is tried at the latest.
 	hedgeFraction = 1.0 / 3
 )
 
@@ -95,6 +95,9 @@
 		return Answer{Status: Refused, Missing: len(q.Route.Shards), Reason: "the servers carry no more queries"}
 	}
 	g := newQueryState(q, q.allShards())
+	if reason, ok := c.unservable(q, g.subset); ok {
+		return Answer{Status: Refused, Missing: len(q.Route.Shards), Reason: reason}
+	}
 	a := c.gather(ctx, q, g, c.divide(q))
 	c.config.Throttle.RecordCompletion(q.index(), g.loadTime(), q.Route.LatencyGoal, len(g.signatures) >= g.subset.MinShards)
 	return a
@@ -141,6 +144,29 @@
 	return g.answer(g.failure())
 }
 
+// unservable reports whether so many shards are known to have no server that can be
+// asked now that the query can't be answered, and names one of them. Sending the
+// other shards' requests would be work in vain.
+func (c *Caller) unservable(q Query, s Subset) (reason string, ok bool) {
+	missing := 0
+	for _, shard := range s.Shards {
+		if !c.askable(q, shard) {
+			missing++
+			reason = shard + ": no backend server can be asked"
+		}
+	}
+	return reason, len(s.Shards)-missing < s.MinShards
+}
+
+// askable reports whether the shard has a server that may be asked: one that is
+// allowed, was not recently unreachable, and is warm or in this VM's charge.
+func (c *Caller) askable(q Query, shard string) bool {
+	now := time.Now()
+	return slices.ContainsFunc(c.config.View().Servers(shard), func(v shuntroute.Server) bool {
+		return q.Route.Allows(v.Region) && !c.config.Balancer.RecentlyUnreachable(v) && (!v.Cold(now) || c.config.Fleet.IsResponsibleFor(v.ID))
+	})
+}
+
 func (c *Caller) askShard(ctx context.Context, q Query, shard string) shardResult {
 	s, ok := q.Table.Service(shard)
 	if !ok {
@@ -153,6 +179,8 @@
 		Fingerprint:  q.Fingerprint,
 		SingleServer: q.Suspect,
 		HedgeAfter:   time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.LatencyGoal)))),
+
+		HedgeByLatency: true,
 	})
 	out := shardResult{shards: 1, status: res.Status, latency: res.Latency, elapsed: time.Since(q.Start), attempts: res.Attempts, reason: shard + ": " + res.Reason}
 	if res.Status == Served {
