Bound what a server may send: head, interim replies, body, framing, and all replies in flight

A server in trouble may send bytes that are no answer without end. A body was cut at 16 MiB for each attempt, 2.9 GB with 180 attempts in flight.

- A head with the interim replies and late replies before it: 64 KiB in all.
- A body: 16 MiB as before, and 1 MiB of chunk sizes, extensions and trailers.
- All replies that are being read: an eighth of the process's memory limit.

What is over a bound closes the connection and counts as may-have-run; the server counts as failing and an idempotent request goes elsewhere at once.

TestEndlessReply: 14 kinds of endless replies, 20 servers at once, another server served meanwhile.

--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -25,6 +25,10 @@
 // discarded, the load is published and missing connections are opened.
 const maintenanceInterval = time.Second
 
+// replyMemoryFraction is the fraction of the memory limit that replies of backend
+// servers may take while they are read, and those of other VMs likewise.
+const replyMemoryFraction = 1.0 / 8
+
 // Settings holds the settings of a Router.
 type Settings struct {
 	Name   string
@@ -51,6 +55,8 @@
 	DelistedGrace time.Duration
 	// WatchWait is how long a watch of the platform waits for changes.
 	WatchWait time.Duration
+	// MemoryBytes is the memory limit of the process; 0 means no limit.
+	MemoryBytes int64
 	// ShutdownGrace is the time from the request to shut down until the process
 	// is killed.
 	ShutdownGrace time.Duration
@@ -94,12 +100,13 @@
 // New returns a Router that has not been started.
 func New(c Config) *Router {
 	s := c.Settings
+	replyMemory := int64(replyMemoryFraction * float64(s.MemoryBytes))
 	r := &Router{
 		config:           c,
 		random:           shuntrandom.New(0),
-		pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
+		pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
 		balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
-		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
+		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
 		delegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
 		coldLimiter:      shuntbalance.NewColdLimiter(),
 		throttle:         shuntbalance.NewThrottle(),
--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,8 +18,16 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxReplyBytes bounds the body of a reply.
-	maxReplyBytes = 16 << 20
+	// maxHeadBytes limits the head of a reply together with the interim replies
+	// before it.
+	maxHeadBytes = 64 << 10
+	// maxReplyBytes limits the body of a reply, and maxFramingBytes the chunk sizes,
+	// chunk extensions and trailers around it.
+	maxReplyBytes   = 16 << 20
+	maxFramingBytes = 1 << 20
+	// bodyStepBytes is how much memory a body takes at first, unless its length is
+	// known to be smaller.
+	bodyStepBytes = 8 << 10
 	// largeBodyBytes is the size above which a request body is written
 	// concurrently with reading the reply, because a server may reply before it
 	// has read the whole body.
@@ -32,8 +39,11 @@
 
 // conn is a connection to a backend server. It carries one exchange at a time.
 type conn struct {
-	net       net.Conn
-	group     *shuntgroup.Group
+	net    net.Conn
+	group  *shuntgroup.Group
+	memory *replyMemory
+	// bound limits what reader reads from net for one reply.
+	bound     *boundedReader
 	reader    *bufio.Reader
 	idleSince time.Time
 	// idleTimeout is how long the server keeps the connection open when idle.
@@ -42,8 +52,9 @@
 	unusable bool
 }
 
-func newConn(c net.Conn, group *shuntgroup.Group, idleTimeout time.Duration) *conn {
-	return &conn{net: c, group: group, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: idleTimeout}
+func newConn(c net.Conn, group *shuntgroup.Group, memory *replyMemory, idleTimeout time.Duration) *conn {
+	b := &boundedReader{reader: c}
+	return &conn{net: c, group: group, memory: memory, bound: b, reader: bufio.NewReaderSize(b, readBufferBytes), idleTimeout: idleTimeout}
 }
 
 // alive checks the socket without blocking. An idle connection that has data to
@@ -158,6 +169,7 @@
 
 // readReply reads the next reply and skips informational (1xx) ones.
 func (c *conn) readReply(method string) (Reply, error) {
+	c.bound.allow("head", maxHeadBytes)
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -174,13 +186,11 @@
 // used again.
 func (c *conn) readBody(resp *http.Response) (Reply, error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	c.bound.allow("body", maxReplyBytes+maxFramingBytes)
+	body, err := c.memory.read(resp.Body, resp.ContentLength)
 	if err != nil {
 		return Reply{}, errors.Trace(err)
 	}
-	if len(body) > maxReplyBytes {
-		return Reply{}, errors.Errorf("the reply is longer than %d bytes", maxReplyBytes)
-	}
 	if resp.Close || c.reader.Buffered() > 0 {
 		c.unusable = true
 	}
--- /dev/null
+++ b/shuntupstream/limit_test.go
@@ -0,0 +1,160 @@
+package shuntupstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+)
+
+// endless writes the head and then the piece again and again until the peer closes the
+// connection.
+func endless(head, piece string) func(c net.Conn, next func() *http.Request) {
+	return func(c net.Conn, next func() *http.Request) {
+		if next() == nil {
+			return
+		}
+		if _, err := c.Write([]byte(head)); err != nil {
+			return
+		}
+		batch := []byte(strings.Repeat(piece, max(1, (64<<10)/len(piece))))
+		for {
+			if _, err := c.Write(batch); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// TestEndlessReply checks that bytes without end are given up long before the deadline,
+// as a request that may have run, on a connection that is not used again, and that 20
+// servers that send them at the same time take little memory, while another one is
+// served.
+func TestEndlessReply(t *testing.T) {
+	const servers, memoryLimit = 20, 24 << 20
+	chunked := "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct{ head, piece string }{
+		"no line end":          {"", "x"},
+		"a status line":        {"HTTP/1.1 200 ", "x"},
+		"a long field":         {"HTTP/1.1 200 OK\r\nId: ", "x"},
+		"many fields":          {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"empty lines":          {"", "\r\n"},
+		"interim replies":      {"", "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"},
+		"body until the end":   {"HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nConnection: close\r\n\r\n", "body"},
+		"large chunks":         {chunked, "8000\r\n" + strings.Repeat("x", 0x8000) + "\r\n"},
+		"chunks of a byte":     {chunked, "1\r\nx\r\n"},
+		"chunk extensions":     {chunked + "1;", "a=b;"},
+		"chunk size":           {chunked, "0"},
+		"trailers":             {chunked + "0\r\n", "Name: value\r\n"},
+		"replies to others":    {"", reply("0", "late")},
+		"a length without end": {"HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Length: 9000000000\r\n\r\n", "body"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			bad := serve(t, endless(c.head, c.piece))
+			good := serve(t, func(c net.Conn, next func() *http.Request) {
+				for r := next(); r != nil; r = next() {
+					if _, err := c.Write([]byte(reply(r.Header.Get("Id"), "body"))); err != nil {
+						return
+					}
+				}
+			})
+			var group shuntgroup.Group
+			p := NewPool(PoolConfig{Headers: testHeaders, Group: &group, MaxReplyMemory: memoryLimit})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			runtime.GC()
+			before := heap()
+			var peak uint64
+			started := time.Now()
+			var wait sync.WaitGroup
+			for range servers {
+				wait.Go(func() {
+					o := p.Do(ctx, Server{ID: "bad", Address: bad.address, MaxConns: servers}, true, request("1"))
+					if !o.Status.MayHaveRun() || o.Status == Answered {
+						t.Errorf("%v (%v), want %v", o.Status, o.Err, Broken)
+					}
+				})
+			}
+			for range 20 {
+				if o := p.Do(ctx, Server{ID: "good", Address: good.address, MaxConns: 1}, true, request("1")); o.Status != Answered {
+					t.Errorf("another server: %v (%v), want %v", o.Status, o.Err, Answered)
+				}
+				peak = max(peak, heap())
+			}
+			wait.Wait()
+			if took := time.Since(started); took > 20*time.Second {
+				t.Errorf("given up after %v", took)
+			}
+			// The garbage of growing buffers counts until it is collected.
+			if grown := int64(peak) - int64(before); grown > 4*memoryLimit {
+				t.Errorf("the heap grew by %d MB", grown>>20)
+			}
+			if n := bad.conns.Load(); n != servers {
+				t.Errorf("%d connections for %d requests", n, servers)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// TestReplyMemory checks that long replies that come together are limited in sum, and
+// that the memory is free again afterwards.
+func TestReplyMemory(t *testing.T) {
+	const limit, length = 1 << 20, 300 << 10
+	m := &replyMemory{limit: limit}
+	var bodies sync.WaitGroup
+	var mu sync.Mutex
+	served, dropped := 0, 0
+	release := make(chan struct{})
+	for range 10 {
+		bodies.Go(func() {
+			_, err := m.read(&pausingReader{left: length, release: release}, length)
+			mu.Lock()
+			defer mu.Unlock()
+			if errors.Is(err, ErrTooLong) {
+				dropped++
+			} else if err == nil {
+				served++
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	bodies.Wait()
+	if served == 0 || dropped == 0 || served+dropped != 10 || m.used.Load() != 0 {
+		t.Errorf("%d served, %d dropped, %d bytes still counted", served, dropped, m.used.Load())
+	}
+}
+
+// pausingReader returns left bytes, the last of them once release is closed.
+type pausingReader struct {
+	left    int
+	release chan struct{}
+}
+
+func (r *pausingReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), r.left)
+	if n == r.left {
+		<-r.release
+	}
+	r.left -= n
+	return n, nil
+}
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -41,11 +41,15 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Group runs the goroutines that write large request bodies.
 	Group *shuntgroup.Group
+	// MaxReplyMemory limits the memory of the replies that are being read at the same
+	// time, in bytes; 0 means no limit.
+	MaxReplyMemory int64
 }
 
 // Pool keeps connections to backend servers and limits their number.
 type Pool struct {
 	config PoolConfig
+	memory *replyMemory
 
 	mu sync.Mutex
 	// servers is indexed by Server.key.
@@ -76,7 +80,7 @@
 		d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 2}}
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	return &Pool{config: c, servers: map[string]*serverConns{}}
+	return &Pool{config: c, memory: &replyMemory{limit: c.MaxReplyMemory}, servers: map[string]*serverConns{}}
 }
 
 // Server identifies a backend server and limits the connections to it.
@@ -240,7 +244,7 @@
 		p.connClosed(sc)
 		return nil, NotSent, errors.Trace(err)
 	}
-	return newConn(c, p.config.Group, defaultIdleTimeout), Answered, nil
+	return newConn(c, p.config.Group, p.memory, defaultIdleTimeout), Answered, nil
 }
 
 // usable reports whether an idle connection may carry another request.
