--- a/shuntbalance/balancer.go
+++ b/shuntbalance/balancer.go
@@ -65,7 +65,9 @@
 	latency    time.Duration
 	failures   float64
 	lastUpdate time.Time
-	// unreachableUntil is when an unreachable server is tried again.
+	// unreachableAt is when the last connection failed, and unreachableUntil when the
+	// server is tried again.
+	unreachableAt    time.Time
 	unreachableUntil time.Time
 	connectBackoff   time.Duration
 	// addressReused is set if another server has the address.
@@ -151,7 +153,7 @@
 	case Success:
 		r.addSample(took, 0)
 		r.connectBackoff = 0
-		r.unreachableUntil = time.Time{}
+		r.unreachableAt, r.unreachableUntil = time.Time{}, time.Time{}
 	case Failed:
 		r.addSample(max(took, r.latency), 1)
 	case Abandoned:
@@ -161,7 +163,7 @@
 	case Unreachable:
 		r.addSample(r.latency, 1)
 		r.connectBackoff = min(max(minConnectBackoff, 2*r.connectBackoff), maxConnectBackoff)
-		r.unreachableUntil = now.Add(r.connectBackoff)
+		r.unreachableAt, r.unreachableUntil = now, now.Add(r.connectBackoff)
 		klog.InfoS("Backend server not reached", "server", s.ID, "service", s.Service, "after", took.Milliseconds(), "pause", r.connectBackoff.Milliseconds())
 	case AddressReused:
 		r.addressReused = true
@@ -290,6 +292,14 @@
 	return time.Now().Before(b.stats(s).unreachableUntil)
 }
 
+// Down reports whether a connection to s failed a moment ago, so that another one
+// would fail as well.
+func (b *Balancer) Down(s shuntroute.Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(b.stats(s).unreachableAt) < minConnectBackoff
+}
+
 // Prune removes the statistics of servers that have had no requests for a long
 // time.
 func (b *Balancer) Prune(now time.Time) {
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -159,11 +159,11 @@
 }
 
 // askable reports whether the shard has a server that may be asked: one that is
-// allowed, was not recently unreachable, and is warm or in this VM's charge.
+// allowed, not known to be down, and warm or in this VM's charge.
 func (c *Caller) askable(q Query, shard string) bool {
 	now := time.Now()
 	return slices.ContainsFunc(c.config.View().Servers(shard), func(v shuntroute.Server) bool {
-		return q.Route.Allows(v.Region) && !c.config.Balancer.RecentlyUnreachable(v) && (!v.Cold(now) || c.config.Fleet.IsResponsibleFor(v.ID))
+		return q.Route.Allows(v.Region) && !c.config.Balancer.Down(v) && (!v.Cold(now) || c.config.Fleet.IsResponsibleFor(v.ID))
 	})
 }
 
