A panic costs one request, message or record, not the process

A panic in the goroutine of an attempt, a shard or a delegated part, in a datagram, in a record of the store or in a call of another VM ended the process, and the same message ended the next one. Each is now caught where what it works on can be dropped: an attempt counts as may-have-run, a record is passed over, a call of another VM gets an error. A log line has the stack, a metric the count. Control loops themselves are not restarted: outside of such a step a panic is a broken invariant and still stops the process.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntbalance"
@@ -336,7 +337,12 @@
 		klog.InfoS("Further attempt", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", s.ID, "why", why, "asked", r.attempts,
 			"after", time.Since(r.started).Milliseconds(), "revision", r.caller.config.View().Revision)
 	}
-	if !r.caller.config.Group.Go(func() { r.results <- r.caller.attempt(r.ctx, r.call, s) }) {
+	if !r.caller.config.Group.Go(func() {
+		// A panic loses the answer, so the request may have run.
+		result := attemptResult{server: s, outcome: shuntupstream.Outcome{Status: shuntupstream.Broken, Err: errPanicked}, started: time.Now()}
+		shuntgroup.Protect("attempt", func() { result = r.caller.attempt(r.ctx, r.call, s) })
+		r.results <- result
+	}) {
 		r.open--
 		return false
 	}
@@ -423,6 +429,9 @@
 	return res
 }
 
+// errPanicked is the reason of an attempt that ended with a panic.
+var errPanicked = errors.New("the attempt panicked")
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -31,6 +31,8 @@
 	// unreachable servers refuse connections; connectHangs servers never complete
 	// one.
 	unreachable, connectHangs bool
+	// panics makes connecting to the server panic.
+	panics bool
 	// responseHangs servers never respond; broken servers close the connection.
 	responseHangs, broken bool
 	// declines is the number of requests that the server declines before it serves
@@ -117,6 +119,8 @@
 func (w *testCluster) dial(ctx context.Context, address string) (net.Conn, error) {
 	b := w.behaviors[address]
 	switch {
+	case b.panics:
+		panic("broken")
 	case b.unreachable:
 		return nil, errors.New("refused")
 	case b.connectHangs:
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntbalance"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
@@ -118,11 +119,19 @@
 		for _, shard := range d.shards {
 			delegated[shard] = true
 		}
-		running = running && c.config.Group.Go(func() { c.askDelegate(ctx, q, g.subset, d, results) })
+		running = running && c.config.Group.Go(func() {
+			if !shuntgroup.Protect("delegated shards", func() { c.askDelegate(ctx, q, g.subset, d, results) }) {
+				results <- shardResult{shards: len(d.shards), status: Faulted, reason: errPanicked.Error()}
+			}
+		})
 	}
 	for _, shard := range g.subset.Shards {
 		if !delegated[shard] {
-			running = running && c.config.Group.Go(func() { results <- c.askShard(ctx, q, shard) })
+			running = running && c.config.Group.Go(func() {
+				result := shardResult{shards: 1, status: Faulted, reason: errPanicked.Error()}
+				shuntgroup.Protect("shard", func() { result = c.askShard(ctx, q, shard) })
+				results <- result
+			})
 		}
 	}
 	if !running {
--- a/shuntcall/scatter_test.go
+++ b/shuntcall/scatter_test.go
@@ -108,3 +108,14 @@
 		}
 	})
 }
+
+// TestPanic checks that a panic while one shard is asked costs that shard only.
+func TestPanic(t *testing.T) {
+	route, services := scatterRoute(10)
+	services[route.Shards[0]] = map[string]behavior{"a": {panics: true}, "b": {panics: true, region: "there"}}
+	run(t, services, func(t *testing.T, w *testCluster) {
+		if a, _ := w.ask(route); a.Status != Served || a.Missing != 1 {
+			t.Errorf("%v, %d missing (%s); want %v, 1", a.Status, a.Missing, a.Reason, Served)
+		}
+	})
+}
--- a/shuntcatalog/catalog.go
+++ b/shuntcatalog/catalog.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
@@ -108,7 +109,11 @@
 		return
 	}
 	c.records[r.Key] = r
-	decoded, err := c.config.Decoder.Decode(r, now)
+	var decoded DecodedRecord
+	var err error
+	if !shuntgroup.Protect("record "+r.Key, func() { decoded, err = c.config.Decoder.Decode(r, now) }) {
+		return
+	}
 	switch {
 	case err != nil:
 		klog.InfoS("Published record passed over", "key", r.Key, "revision", r.Revision, "reason", err.Error())
--- a/shuntcatalog/catalog_test.go
+++ b/shuntcatalog/catalog_test.go
@@ -193,3 +193,25 @@
 		t.Error("the full state must be returned if and only if removals have been discarded")
 	}
 }
+
+// panickingDecoder panics on records whose key is bad.
+type panickingDecoder struct{ testDecoder }
+
+func (d panickingDecoder) Decode(r Record, now time.Time) (DecodedRecord, error) {
+	if r.Key == "bad" {
+		panic("broken")
+	}
+	return d.testDecoder.Decode(r, now)
+}
+
+// TestPanickingDecoder checks that a record that can't be decoded without a panic is
+// passed over, and that the others take effect.
+func TestPanickingDecoder(t *testing.T) {
+	c := New(Config{Decoder: panickingDecoder{}, DelistedGrace: delistedGrace})
+	s := state(3, record(t, "t", 3, 7))
+	s.Records = append([]Record{{Key: "bad", Revision: 2, Value: []byte("x")}}, s.Records...)
+	c.Apply(s, time.Now())
+	if v := c.View(); v.Table == nil || v.Table.Version() != 7 {
+		t.Errorf("table %v, want version 7", v.Table)
+	}
+}
--- a/shuntgroup/group.go
+++ b/shuntgroup/group.go
@@ -3,8 +3,13 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 // Group is a set of goroutines. Unlike with a sync.WaitGroup, Go may be called
@@ -37,6 +42,25 @@
 	g.wait.Wait()
 }
 
+// Protect runs f. If f panics, it logs the panic and returns false: what f worked on,
+// such as one request or one message, is lost, but not the process. what names it in
+// the log.
+func Protect(what string, f func()) (ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			panics.Add(1)
+			klog.InfoS("Panic; dropping what caused it", "in", what, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+	return true
+}
+
+var panics atomic.Uint64
+
+// Panics returns the number of panics that Protect has caught in this process.
+func Panics() uint64 { return panics.Load() }
+
 // Pause waits until d has passed or ctx is done, whichever comes first.
 func Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -150,7 +150,7 @@
 		select {
 		case u := <-n.updates:
 			before := l.Self()
-			u(l)
+			shuntgroup.Protect("update of the member list", func() { u(l) })
 			if n.isUrgent(before, l.Self()) && time.Since(lastUrgent) > minUrgentInterval {
 				lastUrgent = time.Now()
 				l.IncrementHeartbeat()
@@ -236,17 +236,20 @@
 			}
 			return
 		}
-		suspicions, reports, err := decodeDatagram(b[:size])
-		if err != nil {
-			klog.InfoS("Ignoring malformed datagram", "from", from, "bytes", size, "reason", err.Error())
-			continue
-		}
-		n.config.Guard.Merge(suspicions)
-		select {
-		case n.updates <- func(l *MemberList) { n.merge(l, reports) }:
-		case <-ctx.Done():
-			return
-		}
+		shuntgroup.Protect("datagram", func() { n.handleDatagram(ctx, from, b[:size]) })
+	}
+}
+
+func (n *Node) handleDatagram(ctx context.Context, from netip.AddrPort, b []byte) {
+	suspicions, reports, err := decodeDatagram(b)
+	if err != nil {
+		klog.InfoS("Ignoring malformed datagram", "from", from, "bytes", len(b), "reason", err.Error())
+		return
+	}
+	n.config.Guard.Merge(suspicions)
+	select {
+	case n.updates <- func(l *MemberList) { n.merge(l, reports) }:
+	case <-ctx.Done():
 	}
 }
 
--- a/shuntmember/state.go
+++ b/shuntmember/state.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntcatalog"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 )
 
 const (
@@ -46,7 +47,10 @@
 
 // Fetch returns the changes after a revision. It is called by net/rpc.
 func (s *stateServer) Fetch(args StateArgs, reply *StateReply) error {
-	d := s.since(args.After)
+	var d shuntcatalog.Delta
+	if !shuntgroup.Protect("fetch of the state", func() { d = s.since(args.After) }) {
+		return errors.New("internal error")
+	}
 	if d.Revision <= args.After {
 		return nil
 	}
--- a/shuntrouter/metrics.go
+++ b/shuntrouter/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"mulberryshunt.example/mulberryshunt/shuntcall"
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntmetric"
 )
 
@@ -14,17 +15,19 @@
 	docRequests = shuntmetric.Doc{Name: "mulberryshunt_router_requests_total", Labels: "End", Type: "Counter", Text: "Requests from callers, by how they ended.", Since: "0.2"}
 	docOpened   = shuntmetric.Doc{Name: "mulberryshunt_router_connections_opened_total", Type: "Gauge", Text: "Connections to backend servers opened since the start.", Since: "0.2"}
 	docRevision = shuntmetric.Doc{Name: "mulberryshunt_router_revision", Type: "Gauge", Text: "Revision of the newest published change that the VM has applied.", Since: "0.2"}
+	docPanics   = shuntmetric.Doc{Name: "mulberryshunt_router_panics_total", Type: "Gauge", Text: "Panics caught since the start; each lost one request, message or record.", Since: "0.3"}
 	docSeconds  = shuntmetric.Doc{Name: "mulberryshunt_router_seconds", Labels: "End", Type: "Histogram", Unit: "seconds", Text: "Time from the arrival of a request to its reply.", Since: "0.2"}
 )
 
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision}
+	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics}
 }
 
 // registerGauges registers the metrics that are read at collection time.
 func registerGauges(set *metrics.Set, r *Router) {
 	shuntmetric.Gauge(set, docOpened, "", func() float64 { return float64(r.pool.ConnectionsOpened()) })
+	shuntmetric.Gauge(set, docPanics, "", func() float64 { return float64(shuntgroup.Panics()) })
 	shuntmetric.Gauge(set, docRevision, "", func() float64 { return float64(r.follower.View().Revision) })
 }
 
