--- a/shuntcatalog/catalog.go
+++ b/shuntcatalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -36,11 +37,18 @@
 	// servers and zonesOutOfService are indexed by the key of the record.
 	servers           map[string]shuntroute.Server
 	zonesOutOfService map[string]string
+	// keys holds the keys of the servers of each service.
+	keys map[string]map[string]bool
+	// view is the last view, or nil if it must be built anew. changed holds the
+	// services whose servers have changed since.
+	view    *shuntroute.View
+	changed map[string]bool
 }
 
 // New returns an empty Catalog.
 func New(c Config) *Catalog {
-	return &Catalog{config: c, records: map[string]Record{}, servers: map[string]shuntroute.Server{}, zonesOutOfService: map[string]string{}}
+	return &Catalog{config: c, records: map[string]Record{}, servers: map[string]shuntroute.Server{}, zonesOutOfService: map[string]string{},
+		keys: map[string]map[string]bool{}, changed: map[string]bool{}}
 }
 
 // Revision returns the revision of the newest change applied.
@@ -123,6 +131,7 @@
 		c.putServer(r.Key, *decoded.Server, r.Revision)
 	case decoded.ZoneOutOfService != "":
 		c.zonesOutOfService[r.Key] = decoded.ZoneOutOfService
+		c.view = nil
 		klog.InfoS("Availability zone out of service", "zone", decoded.ZoneOutOfService, "revision", r.Revision)
 	}
 }
@@ -144,7 +153,7 @@
 		klog.InfoS("Stale report from a backend server ignored", "server", s.ID, "born", s.StartMillis, "sequence", s.Sequence, "revision", revision)
 		return
 	}
-	c.servers[key] = s
+	c.setServer(key, s)
 	if !known || old.Draining != s.Draining || old.StartMillis != s.StartMillis || !old.DelistedAt.IsZero() {
 		klog.InfoS("Backend server listed", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.Zone,
 			"born", s.StartMillis, "draining", s.Draining, "coldUntil", time.Until(s.ColdUntil).Milliseconds(), "revision", revision)
@@ -162,10 +171,11 @@
 	}
 	if zone, ok := c.zonesOutOfService[key]; ok {
 		delete(c.zonesOutOfService, key)
+		c.view = nil
 		klog.InfoS("Availability zone back in service", "zone", zone)
 	}
 	if s, ok := c.servers[key]; ok && s.DelistedAt.IsZero() {
-		c.servers[key] = s.WithDelistedAt(now)
+		c.setServer(key, s.WithDelistedAt(now))
 		klog.InfoS("Backend server's entry gone", "server", s.ID, "service", s.Service, "draining", s.Draining)
 	}
 }
@@ -176,28 +186,65 @@
 	changed := false
 	for key, s := range c.servers {
 		if !s.DelistedAt.IsZero() && now.Sub(s.DelistedAt) >= c.config.DelistedGrace {
-			delete(c.servers, key)
+			c.deleteServer(key)
 			changed = true
 		}
 	}
 	return changed
 }
 
-// View returns a view of the current state.
-func (c *Catalog) View() *shuntroute.View {
-	servers := make([]shuntroute.Server, 0, len(c.servers))
-	for _, s := range c.servers {
-		servers = append(servers, s)
+// setServer stores a server under its key.
+func (c *Catalog) setServer(key string, s shuntroute.Server) {
+	c.deleteServer(key)
+	c.servers[key] = s
+	if c.keys[s.Service] == nil {
+		c.keys[s.Service] = map[string]bool{}
+	}
+	c.keys[s.Service][key] = true
+	c.changed[s.Service] = true
+}
+
+func (c *Catalog) deleteServer(key string) {
+	s, ok := c.servers[key]
+	if !ok {
+		return
+	}
+	delete(c.servers, key)
+	delete(c.keys[s.Service], key)
+	if len(c.keys[s.Service]) == 0 {
+		delete(c.keys, s.Service)
 	}
-	slices.SortFunc(servers, func(a, b shuntroute.Server) int {
-		if a.ID < b.ID {
-			return -1
+	c.changed[s.Service] = true
+}
+
+// View returns a view of the current state. It works out again only the services whose
+// servers have changed: a large fleet has hundreds, and its servers report all the time.
+func (c *Catalog) View() *shuntroute.View {
+	if c.view == nil {
+		closedZones := make(map[string]bool, len(c.zonesOutOfService))
+		for _, z := range c.zonesOutOfService {
+			closedZones[z] = true
+		}
+		c.view = shuntroute.NewView(nil, 0, nil, closedZones)
+		for service := range c.keys {
+			c.changed[service] = true
 		}
-		return 1
-	})
-	closedZones := make(map[string]bool, len(c.zonesOutOfService))
-	for _, z := range c.zonesOutOfService {
-		closedZones[z] = true
 	}
-	return shuntroute.NewView(c.table, c.revision, servers, closedZones)
+	changed := make(map[string][]shuntroute.Server, len(c.changed))
+	for service := range c.changed {
+		changed[service] = c.serversOf(service)
+	}
+	clear(c.changed)
+	c.view = c.view.WithChanges(c.table, c.revision, changed)
+	return c.view
+}
+
+// serversOf returns the servers of the service in the order of their IDs.
+func (c *Catalog) serversOf(service string) []shuntroute.Server {
+	out := make([]shuntroute.Server, 0, len(c.keys[service]))
+	for key := range c.keys[service] {
+		out = append(out, c.servers[key])
+	}
+	slices.SortFunc(out, func(a, b shuntroute.Server) int { return strings.Compare(a.ID, b.ID) })
+	return out
 }
--- a/shuntcatalog/catalog_test.go
+++ b/shuntcatalog/catalog_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 
 	"mulberryshunt.example/mulberryshunt/shuntroute"
+
+	"pgregory.net/rapid"
 )
 
 // testDecoder decodes JSON: a Server for keys that begin with s and a version of
@@ -215,3 +220,44 @@
 		t.Errorf("table %v, want version 7", v.Table)
 	}
 }
+
+// TestViewAfterChanges checks that a view that is worked out from the last one and the
+// changes since is the same as one that is built anew.
+func TestViewAfterChanges(t *testing.T) {
+	contents := func(v *shuntroute.View) string {
+		out := []string{}
+		for s := range v.All() {
+			out = append(out, fmt.Sprintf("%s %+v", s.Service, s))
+		}
+		slices.Sort(out)
+		return fmt.Sprint(v.Revision, strings.Join(out, "\n"))
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCatalog()
+		now := time.Now()
+		for i := range rapid.IntRange(1, 40).Draw(rt, "changes") {
+			key := fmt.Sprint("servers/", rapid.IntRange(0, 5).Draw(rt, "key"))
+			zone := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "zone")
+			switch rapid.IntRange(0, 5).Draw(rt, "kind") {
+			case 0:
+				c.remove(key, int64(i), now)
+			case 1:
+				now = now.Add(delistedGrace)
+				c.Expire(now)
+			case 2:
+				c.zonesOutOfService["zone"], c.view = zone, nil
+			case 3:
+				c.remove("zone", int64(i), now)
+			default:
+				s := shuntroute.Server{ID: key, Service: rapid.SampledFrom([]string{"s", "t"}).Draw(rt, "service"), Zone: zone, Sequence: int64(i), Draining: rapid.Bool().Draw(rt, "draining")}
+				c.putServer(key, s, int64(i))
+			}
+			c.revision = int64(i)
+			got := contents(c.View())
+			c.view = nil
+			if want := contents(c.View()); got != want {
+				rt.Fatalf("after change %d: got\n%s\nwant\n%s", i, got, want)
+			}
+		}
+	})
+}
--- a/shuntroute/server.go
+++ b/shuntroute/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"iter"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -61,6 +63,22 @@
 	return v
 }
 
+// WithChanges returns a view with another table and revision in which the given
+// services have these servers instead of the ones that they had. It leaves out draining
+// servers and those in v's closed zones.
+func (v *View) WithChanges(t *Table, revision int64, changed map[string][]Server) *View {
+	out := &View{Table: t, Revision: revision, servers: maps.Clone(v.servers), outOfService: v.outOfService}
+	for service, servers := range changed {
+		kept := slices.DeleteFunc(servers, func(s Server) bool { return v.outOfService[s.Zone] || s.Draining })
+		if len(kept) == 0 {
+			delete(out.servers, service)
+		} else {
+			out.servers[service] = kept
+		}
+	}
+	return out
+}
+
 // All iterates over the servers of all services that may receive requests.
 func (v *View) All() iter.Seq[Server] {
 	return func(yield func(Server) bool) {
