--- a/shuntcall/delegate_test.go
+++ b/shuntcall/delegate_test.go
@@ -203,31 +203,15 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			route := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, MinCoverage: 0.95, TopRecords: 3}
-			services := map[string]map[string]behavior{}
-			for i := range shards {
-				shard, zone := fmt.Sprintf("s%03d", i), "here-a"
-				if i < remote {
-					zone = "here-b"
-				}
-				route.Shards = append(route.Shards, shard)
-				services[shard] = map[string]behavior{zone: {after: fast, zone: zone}}
-			}
+			route, services := shardsInTwoZones(shards, remote)
 			run(t, services, func(t *testing.T, w *testCluster) {
 				w.behaviors["vm"] = c.vm
 				w.delegates = []Delegate{{Address: "vm", Region: "here", Zone: "here-b", Cores: 0.8}}
 				w.caller.config.Self.Cores, w.caller.config.ShardsPerCore = c.cores, 75
-				ask := func() (Answer, time.Duration) {
-					ctx, cancel := context.WithTimeout(t.Context(), deadline)
-					defer cancel()
-					start := time.Now()
-					a := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: w.request(start), Start: start})
-					return a, time.Since(start)
-				}
-				if a, took := ask(); a.Status != c.status || a.Missing != c.missing || took > goal*3/2 {
+				if a, took := w.ask(route); a.Status != c.status || a.Missing != c.missing || took > goal*3/2 {
 					t.Errorf("first query: %v after %v, %d missing (%s); want %v, %d", a.Status, took, a.Missing, a.Reason, c.status, c.missing)
 				}
-				if a, took := ask(); a.Status != Served || a.Missing > 0 || took > goal/2 {
+				if a, took := w.ask(route); a.Status != Served || a.Missing > 0 || took > goal/2 {
 					t.Errorf("second query: %v after %v, %d missing (%s)", a.Status, took, a.Missing, a.Reason)
 				}
 				if direct := w.requestsTo("/here-b"); direct != c.direct || w.arrivals["vm"] != c.delegated {
@@ -238,6 +222,22 @@
 	}
 }
 
+// shardsInTwoZones returns a route over shards whose servers are in this region, the
+// first of them in the other zone.
+func shardsInTwoZones(shards, remote int) (*shuntroute.Route, map[string]map[string]behavior) {
+	route := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, MinCoverage: 0.95, TopRecords: 3}
+	services := map[string]map[string]behavior{}
+	for i := range shards {
+		shard, zone := fmt.Sprintf("s%03d", i), "here-a"
+		if i < remote {
+			zone = "here-b"
+		}
+		route.Shards = append(route.Shards, shard)
+		services[shard] = map[string]behavior{zone: {after: fast, zone: zone}}
+	}
+	return route, services
+}
+
 // TestInCharge checks that shards are spread over the VMs of their zone by capacity,
 // and that the loss of a VM moves only the shards that it was in charge of.
 func TestInCharge(t *testing.T) {
--- a/shuntcall/scatter_benchmark_test.go
+++ b/shuntcall/scatter_benchmark_test.go
@@ -87,34 +87,45 @@
 
 // serveParts answers requests with a part of the records and its signature.
 func serveParts(l net.Listener, group *shuntgroup.Group) {
-	body := bytes.Repeat([]byte("0123456789abcdef"), 25)
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		group.Go(func() {
-			defer func() { _ = c.Close() }()
-			r := bufio.NewReader(c)
-			var id []byte
-			var out []byte
-			for n := 0; ; {
-				line, err := r.ReadSlice('\n')
-				if err != nil {
-					return
-				}
-				if v, ok := bytes.CutPrefix(line, []byte("Request-Identity: ")); ok {
-					id = append(id[:0], bytes.TrimSpace(v)...)
-				}
-				if len(line) > 2 {
-					continue
-				}
-				n++
-				out = fmt.Appendf(out[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nRequest-Identity: %s\r\nSignature: %p.%x\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, r, n, len(body), body)
-				if _, err := c.Write(out); err != nil {
-					return
-				}
-			}
-		})
+		group.Go(func() { servePartsOn(c) })
+	}
+}
+
+func servePartsOn(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	body := bytes.Repeat([]byte("0123456789abcdef"), 25)
+	r := bufio.NewReader(c)
+	var out []byte
+	for n := 0; ; n++ {
+		id, err := readRequestID(r)
+		if err != nil {
+			return
+		}
+		out = fmt.Appendf(out[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nRequest-Identity: %s\r\nSignature: %p.%x\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, r, n, len(body), body)
+		if _, err := c.Write(out); err != nil {
+			return
+		}
+	}
+}
+
+// readRequestID reads the head of a request and returns its identity.
+func readRequestID(r *bufio.Reader) (string, error) {
+	id := ""
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return "", err
+		}
+		if v, ok := bytes.CutPrefix(line, []byte("Request-Identity: ")); ok {
+			id = string(bytes.TrimSpace(v))
+		}
+		if len(line) == len("\r\n") {
+			return id, nil
+		}
 	}
 }
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -191,26 +191,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			reports := newReports(3*perRegion, equalCapacity)
-			ranks := map[netip.AddrPort]int{}
-			for i, r := range snapshotOf(0, reports).regions["a"] {
-				ranks[r.Address] = i
-			}
-			for i := range reports {
-				if rank, ok := ranks[reports[i].Address]; ok {
-					reports[i].PlatformReachable = slices.Contains(c.reached, rank)
-				}
-			}
-			got := 0
-			for i := range reports {
-				l := NewMemberList(reports[i], regionOf)
-				now := time.Now()
-				l.Merge(reports, now)
-				l.Snapshot(now, true)
-				if l.Snapshot(now.Add(c.after), true).ShouldReadPlatform() && regionOf(reports[i].Zone) == "a" {
-					got++
-				}
-			}
+			got := countReaders(newReports(3*perRegion, equalCapacity), c.reached, c.after)
 			if got != c.want {
 				t.Errorf("%d VMs of region a read or try to, want %d", got, c.want)
 			}
@@ -218,6 +199,26 @@
 	}
 }
 
+// countReaders returns how many VMs of region a read from the platform after the given
+// time, if it answers only those with the given ranks in the region's order.
+func countReaders(reports []Report, reached []int, after time.Duration) int {
+	for rank, r := range snapshotOf(0, reports).regions["a"] {
+		i := slices.IndexFunc(reports, func(o Report) bool { return o.Address == r.Address })
+		reports[i].PlatformReachable = slices.Contains(reached, rank)
+	}
+	n := 0
+	for _, r := range reports {
+		l := NewMemberList(r, regionOf)
+		now := time.Now()
+		l.Merge(reports, now)
+		l.Snapshot(now, true)
+		if l.Snapshot(now.Add(after), true).ShouldReadPlatform() && regionOf(r.Zone) == "a" {
+			n++
+		}
+	}
+	return n
+}
+
 // TestRestart checks which of two reports of the same VM is kept, also if they
 // are from different processes.
 func TestRestart(t *testing.T) {
--- a/shuntupstream/limit_test.go
+++ b/shuntupstream/limit_test.go
@@ -60,52 +60,59 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			bad := serve(t, endless(c.head, c.piece))
-			good := serve(t, func(c net.Conn, next func() *http.Request) {
-				for r := next(); r != nil; r = next() {
-					if _, err := c.Write([]byte(reply(r.Header.Get("Id"), "body"))); err != nil {
-						return
-					}
-				}
-			})
-			var group shuntgroup.Group
-			p := NewPool(PoolConfig{Headers: testHeaders, Group: &group, MaxReplyMemory: memoryLimit})
+			bad, good := serve(t, endless(c.head, c.piece)), serve(t, wellBehaved)
+			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}, MaxReplyMemory: memoryLimit})
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			runtime.GC()
-			before := heap()
-			var peak uint64
-			started := time.Now()
+			before, started := heap(), time.Now()
 			var wait sync.WaitGroup
 			for range servers {
 				wait.Go(func() {
-					o := p.Do(ctx, Server{ID: "bad", Address: bad.address, MaxConns: servers}, true, request("1"))
-					if !o.Status.MayHaveRun() || o.Status == Answered {
-						t.Errorf("%v (%v), want %v", o.Status, o.Err, Broken)
-					}
+					wantBroken(t, p.Do(ctx, Server{ID: "bad", Address: bad.address, MaxConns: servers}, true, request("1")))
 				})
 			}
-			for range 20 {
+			peak := peakHeap(func() {
 				if o := p.Do(ctx, Server{ID: "good", Address: good.address, MaxConns: 1}, true, request("1")); o.Status != Answered {
 					t.Errorf("another server: %v (%v), want %v", o.Status, o.Err, Answered)
 				}
-				peak = max(peak, heap())
-			}
+			})
 			wait.Wait()
-			if took := time.Since(started); took > 20*time.Second {
-				t.Errorf("given up after %v", took)
-			}
 			// The garbage of growing buffers counts until it is collected.
-			if grown := int64(peak) - int64(before); grown > 4*memoryLimit {
-				t.Errorf("the heap grew by %d MB", grown>>20)
-			}
-			if n := bad.conns.Load(); n != servers {
-				t.Errorf("%d connections for %d requests", n, servers)
+			grown := int64(peak) - int64(before)
+			if took, n := time.Since(started), bad.conns.Load(); took > 20*time.Second || grown > 4*memoryLimit || n != servers {
+				t.Errorf("given up after %v; the heap grew by %d MB; %d connections for %d requests", took, grown>>20, n, servers)
 			}
 		})
 	}
 }
 
+// wellBehaved answers each request with a short reply.
+func wellBehaved(c net.Conn, next func() *http.Request) {
+	for r := next(); r != nil; r = next() {
+		if _, err := c.Write([]byte(reply(r.Header.Get("Id"), "body"))); err != nil {
+			return
+		}
+	}
+}
+
+func wantBroken(t *testing.T, o Outcome) {
+	t.Helper()
+	if o.Status != Broken {
+		t.Errorf("%v (%v), want %v", o.Status, o.Err, Broken)
+	}
+}
+
+// peakHeap calls f 20 times and returns the largest heap after a call, in bytes.
+func peakHeap(f func()) uint64 {
+	peak := uint64(0)
+	for range 20 {
+		f()
+		peak = max(peak, heap())
+	}
+	return peak
+}
+
 func heap() uint64 {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
