--- a/shuntcatalog/catalog_test.go
+++ b/shuntcatalog/catalog_test.go
@@ -236,7 +236,7 @@
 		c := newCatalog()
 		now := time.Now()
 		for i := range rapid.IntRange(1, 40).Draw(rt, "changes") {
-			key := fmt.Sprint("servers/", rapid.IntRange(0, 5).Draw(rt, "key"))
+			key := fmt.Sprint("entries/", rapid.IntRange(0, 5).Draw(rt, "key"))
 			zone := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "zone")
 			switch rapid.IntRange(0, 5).Draw(rt, "kind") {
 			case 0:
