Tests: second copies of replies on connections in use again, and replies that break off

Two of the points that operators of similar systems reported. Neither can happen here: the identity of each reply is compared, what belongs to another request is skipped, and the connection is not used again; only a complete frame ends a reply.

--- /dev/null
+++ b/shuntupstream/copies_test.go
@@ -0,0 +1,112 @@
+package shuntupstream
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntgroup"
+)
+
+// TestSecondCopy replays a server that sends something of its first reply again when the
+// connection already carries the next request. The next caller must get its own reply or
+// none.
+func TestSecondCopy(t *testing.T) {
+	first, own := reply("1", "first"), reply("2", "own")
+	anonymous := "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 5\r\n\r\nfirst"
+	cases := map[string]struct {
+		// pieces are sent after the second request was read, with a pause after each.
+		pieces []string
+		status Status
+	}{
+		"whole, before its own":         {[]string{first, own}, Answered},
+		"in two pieces":                 {[]string{first[:30], first[30:], own}, Answered},
+		"split in its body":             {[]string{first[:len(first)-2], first[len(first)-2:] + own}, Answered},
+		"in one segment with its own":   {[]string{first + own}, Answered},
+		"twice":                         {[]string{first + first, own}, Answered},
+		"three times":                   {[]string{first + first + first + own}, Broken},
+		"without an identity":           {[]string{anonymous, own}, Answered},
+		"its body only":                 {[]string{"first", own}, Broken},
+		"cut off":                       {[]string{first[:len(first)-3], own}, Broken},
+		"after its own":                 {[]string{own, first}, Answered},
+		"with the length of two":        {[]string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 400\r\n\r\n" + own}, Broken},
+		"nothing else, then the server": {[]string{first}, Broken},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, next func() *http.Request) {
+				if next() != nil && send(conn, first) && next() != nil {
+					send(conn, c.pieces...)
+				}
+			})
+			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}})
+			ask := func(id string) Outcome {
+				return p.Do(t.Context(), Server{ID: "i", Address: s.address, MaxConns: 1}, true, request(id))
+			}
+			if o := ask("1"); o.Status != Answered || string(o.Reply.Body) != "first" {
+				t.Fatalf("first exchange: %v %q (%v)", o.Status, o.Reply.Body, o.Err)
+			}
+			o := ask("2")
+			if o.Status != c.status || (o.Status == Answered && string(o.Reply.Body) != "own") {
+				t.Errorf("second exchange: %v %q (%v), want %v and its own reply", o.Status, o.Reply.Body, o.Err, c.status)
+			}
+			time.Sleep(10 * time.Millisecond)
+			if ask("1"); s.conns.Load() != 2 {
+				t.Errorf("%d connections for 3 exchanges; the second must not be used again", s.conns.Load())
+			}
+		})
+	}
+}
+
+// send writes the pieces with a pause after each, and reports whether it could.
+func send(c net.Conn, pieces ...string) bool {
+	for _, p := range pieces {
+		if _, err := c.Write([]byte(p)); err != nil {
+			return false
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return true
+}
+
+// TestBrokenOff checks that a reply that breaks off is never complete, whether the
+// connection is closed or reset.
+func TestBrokenOff(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct {
+		send string
+		// wholeIfClosed is true if only a reset shows that the reply is incomplete.
+		wholeIfClosed bool
+	}{
+		"in the status line":        {send: "HTTP/1.1 20"},
+		"in the head":               {send: "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\n"},
+		"a stamp without a body":    {send: "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Length: 5\r\n\r\n"},
+		"a length that lies":        {send: "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nContent-Length: 50\r\n\r\nfirst"},
+		"in a chunk size":           {send: chunked + "5\r\nfirst\r\n1"},
+		"in a chunk":                {send: chunked + "5\r\nfir"},
+		"chunks without an end":     {send: chunked + "5\r\nfirst\r\n"},
+		"in the trailers":           {send: chunked + "5\r\nfirst\r\n0\r\nName: v"},
+		"no length":                 {send: "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\n\r\nfirst", wholeIfClosed: true},
+		"no length, asked to close": {send: "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\nConnection: close\r\n\r\nfirst", wholeIfClosed: true},
+	}
+	for name, c := range cases {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				s := serve(t, func(conn net.Conn, next func() *http.Request) {
+					if next() != nil && send(conn, c.send) && reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				want := Broken
+				if c.wholeIfClosed && !reset {
+					want = Answered
+				}
+				if o, _ := doWithNewPool(t, s, request("1")); o.Status != want {
+					t.Errorf("%v %q (%v), want %v", o.Status, o.Reply.Body, o.Err, want)
+				}
+			})
+		}
+	}
+}
