--- a/shuntupstream/copies_test.go
+++ b/shuntupstream/copies_test.go
@@ -45,13 +45,8 @@
 			ask := func(id string) Outcome {
 				return p.Do(t.Context(), Server{ID: "i", Address: s.address, MaxConns: 1}, true, request(id))
 			}
-			if o := ask("1"); o.Status != Answered || string(o.Reply.Body) != "first" {
-				t.Fatalf("first exchange: %v %q (%v)", o.Status, o.Reply.Body, o.Err)
-			}
-			o := ask("2")
-			if o.Status != c.status || (o.Status == Answered && string(o.Reply.Body) != "own") {
-				t.Errorf("second exchange: %v %q (%v), want %v and its own reply", o.Status, o.Reply.Body, o.Err, c.status)
-			}
+			wantReply(t, ask("1"), Answered, "first")
+			wantReply(t, ask("2"), c.status, "own")
 			time.Sleep(10 * time.Millisecond)
 			if ask("1"); s.conns.Load() != 2 {
 				t.Errorf("%d connections for 3 exchanges; the second must not be used again", s.conns.Load())
@@ -60,6 +55,14 @@
 	}
 }
 
+// wantReply checks the status of an exchange and, if it was answered, the body.
+func wantReply(t *testing.T, o Outcome, status Status, body string) {
+	t.Helper()
+	if o.Status != status || (o.Status == Answered && string(o.Reply.Body) != body) {
+		t.Errorf("%v %q (%v), want %v with %q", o.Status, o.Reply.Body, o.Err, status, body)
+	}
+}
+
 // send writes the pieces with a pause after each, and reports whether it could.
 func send(c net.Conn, pieces ...string) bool {
 	for _, p := range pieces {
@@ -103,9 +106,8 @@
 				if c.wholeIfClosed && !reset {
 					want = Answered
 				}
-				if o, _ := doWithNewPool(t, s, request("1")); o.Status != want {
-					t.Errorf("%v %q (%v), want %v", o.Status, o.Reply.Body, o.Err, want)
-				}
+				o, _ := doWithNewPool(t, s, request("1"))
+				wantReply(t, o, want, "first")
 			})
 		}
 	}
