--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -182,13 +182,12 @@
 		return shardResult{shards: 1, status: Refused, reason: shard + ": no such service"}
 	}
 	res := c.Do(ctx, Call{
-		Route:        q.Route,
-		Service:      s,
-		Request:      q.Request,
-		Fingerprint:  q.Fingerprint,
-		SingleServer: q.Suspect,
-		HedgeAfter:   time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.LatencyGoal)))),
-
+		Route:          q.Route,
+		Service:        s,
+		Request:        q.Request,
+		Fingerprint:    q.Fingerprint,
+		SingleServer:   q.Suspect,
+		HedgeAfter:     time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.LatencyGoal)))),
 		HedgeByLatency: true,
 	})
 	out := shardResult{shards: 1, status: res.Status, latency: res.Latency, elapsed: time.Since(q.Start), attempts: res.Attempts, reason: shard + ": " + res.Reason}
