Log and count what concerns backend servers that limit their rate

The log and the metrics could not tell whether a server's limit was known, so that no hypothesis on LIMIT could be told from another. A line says when a server names a limit, changes it or names none any more; a counter has the attempts at limited servers by why they were made, a gauge the limited servers.

No decision changes yet.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -38,6 +38,13 @@
 	connReserve = 0.2
 )
 
+// Why an attempt is made.
+const (
+	whyFirst = "First"
+	whyHedge = "Hedge"
+	whyRetry = "Retry"
+)
+
 // Fleet provides what a Caller needs to know about the other VMs.
 type Fleet interface {
 	// Share returns this VM's fraction of the limits of backend servers.
@@ -64,6 +71,8 @@
 	DelegateBalancer *shuntbalance.Balancer
 	Budget           *shuntbalance.RetryBudget
 	ColdLimiter      *shuntbalance.ColdLimiter
+	// RateLimiter holds the limits that servers have named.
+	RateLimiter *shuntbalance.RateLimiter
 	// Throttle limits queries to overloaded indexes.
 	Throttle *shuntbalance.Throttle
 	Fleet    Fleet
@@ -175,7 +184,7 @@
 	c.config.Budget.RecordRequest(in.Service.Name)
 	r := &call{caller: c, call: in, ctx: ctx, started: time.Now(), results: make(chan attemptResult, maxRequestsSent)}
 	first, ok := r.choose(false)
-	if !ok || !r.launch("First", first) {
+	if !ok || !r.launch(whyFirst, first) {
 		return r.finish("no backend server can be asked")
 	}
 	return r.loop(first)
@@ -232,7 +241,7 @@
 		return
 	}
 	if s, ok := r.choose(true); ok && r.takeBudget(hedgeReserve) {
-		r.launch("Hedge", s)
+		r.launch(whyHedge, s)
 	}
 }
 
@@ -310,7 +319,7 @@
 		return false
 	}
 	if ok {
-		return r.launch("Retry", s)
+		return r.launch(whyRetry, s)
 	}
 	if r.open > 0 || e.outcome.Status == shuntupstream.Misdirected || e.outcome.Status == shuntupstream.NotSent || e.outcome.Status.MayHaveRun() {
 		return false
@@ -321,7 +330,7 @@
 	select {
 	case <-t.C:
 		s, ok := r.choose(false)
-		return ok && r.launch("Retry", s)
+		return ok && r.launch(whyRetry, s)
 	case <-r.ctx.Done():
 		return false
 	}
@@ -332,7 +341,10 @@
 	r.tried = append(r.tried, shuntbalance.IncarnationOf(s))
 	r.attempts++
 	r.open++
-	if why != "First" {
+	if r.caller.config.RateLimiter.Limited(s) {
+		r.caller.config.Metrics.limited[why].Inc()
+	}
+	if why != whyFirst {
 		r.caller.config.Metrics.ExtraAttempts.Inc()
 		klog.InfoS("Further attempt", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", s.ID, "why", why, "asked", r.attempts,
 			"after", time.Since(r.started).Milliseconds(), "revision", r.caller.config.View().Revision)
@@ -388,10 +400,28 @@
 	o := c.config.Pool.Do(ctx, to, in.Route.Idempotent, in.Request)
 	c.config.Balancer.End(s, a, balancerResult(o))
 	c.detectCrash(in, s, o)
+	c.observeLimit(s, o)
 	c.config.Metrics.attempt(o, time.Since(started))
 	return attemptResult{server: s, outcome: o, started: started}
 }
 
+// observeLimit records whether the server limits its rate of requests. A reply from
+// another server at the same address says nothing about it.
+func (c *Caller) observeLimit(s shuntroute.Server, o shuntupstream.Outcome) {
+	if o.Status != shuntupstream.Answered && o.Status != shuntupstream.Declined {
+		return
+	}
+	perSecond, named, err := o.Reply.RateLimit(c.config.Headers)
+	switch {
+	case err != nil:
+		klog.InfoS("Rate limit of a backend server not understood", "server", s.ID, "service", s.Service, "reason", err.Error())
+	case named:
+		c.config.RateLimiter.Limit(s, perSecond)
+	default:
+		c.config.RateLimiter.Unlimit(s)
+	}
+}
+
 func balancerResult(o shuntupstream.Outcome) shuntbalance.Result {
 	switch o.Status {
 	case shuntupstream.Answered:
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -23,7 +23,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
 
-var testHeaders = shuntupstream.Headers{RequestID: "Id", Deadline: "Left", Instance: "For", NotRun: "Not-Run", Signature: "Signed"}
+var testHeaders = shuntupstream.Headers{RequestID: "Id", Deadline: "Left", Instance: "For", NotRun: "Not-Run", Signature: "Signed", RateLimit: "Rate"}
 
 // behavior configures how a fake server responds.
 type behavior struct {
@@ -100,6 +100,7 @@
 			DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
 			Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
 			ColdLimiter:      shuntbalance.NewColdLimiter(),
+			RateLimiter:      shuntbalance.NewRateLimiter(),
 			Throttle:         shuntbalance.NewThrottle(),
 			Fleet:            w,
 			Group:            &w.group,
--- a/shuntrouter/metrics.go
+++ b/shuntrouter/metrics.go
@@ -16,18 +16,20 @@
 	docOpened   = shuntmetric.Doc{Name: "mulberryshunt_router_connections_opened_total", Type: "Gauge", Text: "Connections to backend servers opened since the start.", Since: "0.2"}
 	docRevision = shuntmetric.Doc{Name: "mulberryshunt_router_revision", Type: "Gauge", Text: "Revision of the newest published change that the VM has applied.", Since: "0.2"}
 	docPanics   = shuntmetric.Doc{Name: "mulberryshunt_router_panics_total", Type: "Gauge", Text: "Panics caught since the start; each lost one request, message or record.", Since: "0.3"}
+	docLimited  = shuntmetric.Doc{Name: "mulberryshunt_router_limited_servers", Type: "Gauge", Text: "Backend servers that limit their rate of requests.", Since: "0.4"}
 	docSeconds  = shuntmetric.Doc{Name: "mulberryshunt_router_seconds", Labels: "End", Type: "Histogram", Unit: "seconds", Text: "Time from the arrival of a request to its reply.", Since: "0.2"}
 )
 
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics}
+	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited}
 }
 
 // registerGauges registers the metrics that are read at collection time.
 func registerGauges(set *metrics.Set, r *Router) {
 	shuntmetric.Gauge(set, docOpened, "", func() float64 { return float64(r.pool.ConnectionsOpened()) })
 	shuntmetric.Gauge(set, docPanics, "", func() float64 { return float64(shuntgroup.Panics()) })
+	shuntmetric.Gauge(set, docLimited, "", func() float64 { return float64(r.rateLimiter.Count()) })
 	shuntmetric.Gauge(set, docRevision, "", func() float64 { return float64(r.follower.View().Revision) })
 }
 
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -88,6 +88,7 @@
 	delegateBalancer *shuntbalance.Balancer
 	balancer         *shuntbalance.Balancer
 	coldLimiter      *shuntbalance.ColdLimiter
+	rateLimiter      *shuntbalance.RateLimiter
 	throttle         *shuntbalance.Throttle
 	caller           *shuntcall.Caller
 	random           *shuntrandom.Source
@@ -109,6 +110,7 @@
 		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
 		delegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
 		coldLimiter:      shuntbalance.NewColdLimiter(),
+		rateLimiter:      shuntbalance.NewRateLimiter(),
 		throttle:         shuntbalance.NewThrottle(),
 		metrics:          newRouterMetrics(c.Metrics),
 		conns:            newCallerConns(),
@@ -127,7 +129,7 @@
 		OnPlatformReachable: func(ok bool) { r.node.Update(func(m *shuntmember.MemberList) { m.SetPlatformReachable(ok) }) },
 	})
 	r.caller = shuntcall.New(shuntcall.Config{
-		Pool: r.pool, Balancer: r.balancer, ColdLimiter: r.coldLimiter, Fleet: fleet{r.node, s.RegionByZone},
+		Pool: r.pool, Balancer: r.balancer, ColdLimiter: r.coldLimiter, RateLimiter: r.rateLimiter, Fleet: fleet{r.node, s.RegionByZone},
 		Self: shuntcall.Delegate{Address: shardAddress(s.PeerAddress).String(), Region: s.Region, Zone: s.Zone, Cores: cores(s.Capacity)}, ShardsPerCore: shuntmember.ShardsPerCore,
 		DelegatePool: r.delegatePool, DelegateBalancer: r.delegateBalancer, Group: c.Group, View: r.follower.View, Headers: c.Headers.Upstream,
 		Budget: shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{
--- a/shuntupstream/exchange.go
+++ b/shuntupstream/exchange.go
@@ -1,8 +1,12 @@
 package shuntupstream
 
 import (
+	"math"
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Headers holds the names of the headers that this package sets or reads.
@@ -18,6 +22,9 @@
 	NotRun string
 	// Signature proves that the server ran the request.
 	Signature string
+	// RateLimit is the number of requests per second that a server in need accepts
+	// from all VMs together. Servers send it only as long as it applies.
+	RateLimit string
 }
 
 // Request is a request to a backend server.
@@ -73,6 +80,20 @@
 	Body   []byte
 }
 
+// RateLimit returns the limit in requests per second that the reply states. named is
+// false if it states none.
+func (r Reply) RateLimit(h Headers) (perSecond float64, named bool, err error) {
+	text := r.Header.Get(h.RateLimit)
+	if text == "" {
+		return 0, false, nil
+	}
+	perSecond, err = strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return 0, false, errors.Errorf("%s: %q is not a rate", h.RateLimit, text)
+	}
+	return perSecond, true, nil
+}
+
 // Outcome is the result of an exchange.
 type Outcome struct {
 	Status Status
