--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -44,6 +44,8 @@
 	region    string
 	zone      string
 	cold      bool
+	// limit is the rate limit that the server names; 0 if it names none.
+	limit float64
 	// maxShards is the maximum number of shards for which a VM answers; 0 if this is
 	// not a VM.
 	maxShards int
@@ -59,10 +61,12 @@
 
 	mu       sync.Mutex
 	arrivals map[string]int
-	group    shuntgroup.Group
-	caller   *Caller
-	view     *shuntroute.View
-	table    *shuntroute.Table
+	// arrivalTimes holds when requests reached each server.
+	arrivalTimes map[string][]time.Time
+	group        shuntgroup.Group
+	caller       *Caller
+	view         *shuntroute.View
+	table        *shuntroute.Table
 }
 
 func (w *testCluster) Share() float64               { return w.share }
@@ -72,7 +76,7 @@
 // run creates a caller for the services and runs f in virtual time.
 func run(t *testing.T, services map[string]map[string]behavior, f func(t *testing.T, w *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &testCluster{behaviors: map[string]behavior{}, arrivals: map[string]int{}, share: 1}
+		w := &testCluster{behaviors: map[string]behavior{}, arrivals: map[string]int{}, arrivalTimes: map[string][]time.Time{}, share: 1}
 		var servers []shuntroute.Server
 		config := shuntroute.TableConfig{Version: 1}
 		for service, byName := range services {
@@ -92,31 +96,36 @@
 		}
 		w.table = shuntroute.NewTable(config)
 		w.view = shuntroute.NewView(w.table, 1, servers, nil)
-		w.caller = New(Config{
-			Pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
-			Balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
-			Self:             Delegate{Address: "self", Region: "here", Zone: "here-a", Cores: 1},
-			DelegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
-			DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
-			Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: w.Share}),
-			ColdLimiter:      shuntbalance.NewColdLimiter(),
-			RateLimiter:      shuntbalance.NewRateLimiter(),
-			Throttle:         shuntbalance.NewThrottle(),
-			Fleet:            w,
-			Group:            &w.group,
-			View:             func() *shuntroute.View { return w.view },
-			ColdRate:         func(shuntroute.Service) float64 { return 5 },
-			Headers:          testHeaders,
-			Metrics:          NewMetrics(metrics.NewSet()),
-			Guard:            shuntguard.New(shuntguard.Config{}),
-			CrashDetector:    shuntguard.NewCrashDetector(),
-		})
+		w.caller = w.newCaller(w)
 		f(t, w)
 		time.Sleep(time.Minute)
 		w.group.Close()
 	})
 }
 
+// newCaller returns the caller of one VM.
+func (w *testCluster) newCaller(f Fleet) *Caller {
+	return New(Config{
+		Pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
+		Balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
+		Self:             Delegate{Address: "self", Region: "here", Zone: "here-a", Cores: 1},
+		DelegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: testHeaders, Dial: w.dial, Group: &w.group}),
+		DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
+		Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: f.Share}),
+		ColdLimiter:      shuntbalance.NewColdLimiter(),
+		RateLimiter:      shuntbalance.NewRateLimiter(),
+		Throttle:         shuntbalance.NewThrottle(),
+		Fleet:            f,
+		Group:            &w.group,
+		View:             func() *shuntroute.View { return w.view },
+		ColdRate:         func(shuntroute.Service) float64 { return 5 },
+		Headers:          testHeaders,
+		Metrics:          NewMetrics(metrics.NewSet()),
+		Guard:            shuntguard.New(shuntguard.Config{}),
+		CrashDetector:    shuntguard.NewCrashDetector(),
+	})
+}
+
 func (w *testCluster) dial(ctx context.Context, address string) (net.Conn, error) {
 	b := w.behaviors[address]
 	switch {
@@ -150,6 +159,7 @@
 		}
 		w.mu.Lock()
 		w.arrivals[address]++
+		w.arrivalTimes[address] = append(w.arrivalTimes[address], time.Now())
 		n := w.arrivals[address]
 		w.mu.Unlock()
 		if !w.answer(c, req, address, n) {
@@ -183,6 +193,9 @@
 	if b.unsigned {
 		header = ""
 	}
+	if b.limit > 0 {
+		header += fmt.Sprintf("Rate: %v\r\n", b.limit)
+	}
 	if b.maxShards > 0 {
 		header = delegateHeaders(req, b.maxShards)
 	}
--- a/shuntcluster/overload_test.go
+++ b/shuntcluster/overload_test.go
@@ -10,6 +10,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntfake"
 	"mulberryshunt.example/mulberryshunt/shuntload"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shunttest"
 )
 
 // sharedEstate returns an estate with one workspace, desk, which has four shards
@@ -39,7 +40,7 @@
 // of the goodput at the capacity, and that interactive queries are answered in
 // time while batch queries are shed.
 func TestOverload(t *testing.T) {
-	skipKnownRed(t)
+	shunttest.SkipKnownRed(t)
 	run := func(label string, load float64, a shuntentry.AdmissionConfig) (desk, batch shuntload.Report) {
 		rs := measure(t, label, func(*testing.T) (*Cluster, []*shuntload.Result) {
 			cluster := Start(Config{Estate: sharedEstate(), Seed: 1, Warm: true, Admission: a})
--- a/shuntcluster/straggler_test.go
+++ b/shuntcluster/straggler_test.go
@@ -7,6 +7,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntfake"
 	"mulberryshunt.example/mulberryshunt/shuntload"
 	"mulberryshunt.example/mulberryshunt/shuntquery"
+	"mulberryshunt.example/mulberryshunt/shunttest"
 )
 
 // TestStraggler runs load while one replica takes twenty times as long as usual
@@ -15,7 +16,7 @@
 // where the workspace waits for all shards. The showroom workspace values a low
 // tail latency more than full coverage and may leave a slow shard out.
 func TestStraggler(t *testing.T) {
-	skipKnownRed(t)
+	shunttest.SkipKnownRed(t)
 	cases := map[string]struct {
 		estate    shuntfake.Estate
 		workspace string
--- a/shuntcluster/warmup_test.go
+++ b/shuntcluster/warmup_test.go
@@ -11,6 +11,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntfake"
 	"mulberryshunt.example/mulberryshunt/shuntowner"
+	"mulberryshunt.example/mulberryshunt/shunttest"
 )
 
 const coldOverrunSeeds = 200
@@ -64,7 +65,7 @@
 func TestColdOverruns(t *testing.T) {
 	for seed := range uint64(coldOverrunSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			skipKnownRed(t)
+			shunttest.SkipKnownRed(t)
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				if v, notes := runRandomFaults(seed, shuntowner.Policy{}); v.Total() > 0 {
--- a/shuntcluster/known_red_test.go
+++ b/shunttest/known_red.go
@@ -1,4 +1,5 @@
-package shuntcluster
+// Package shunttest helps tests of several packages.
+package shunttest
 
 import (
 	"flag"
@@ -9,8 +10,9 @@
 
 var runKnownRed = flag.Bool("red", false, "also run the tests that KNOWN-RED.txt lists")
 
-// skipKnownRed skips a test that KNOWN-RED.txt lists, unless -red is given.
-func skipKnownRed(t *testing.T) {
+// SkipKnownRed skips a test that KNOWN-RED.txt lists, unless -red is given. The
+// test's package must be a folder below the module's root.
+func SkipKnownRed(t *testing.T) {
 	t.Helper()
 	list, err := os.ReadFile("../KNOWN-RED.txt")
 	if err != nil || *runKnownRed {
