Divide the rate limit that a backend server names among all VMs, by demand

What callers saw: nothing; the servers did.

Cause: a bound that a dependency states in its replies, and that nothing in the fleet read; no VM alone can keep it either. The class of fault: a limit on what all VMs do together that is kept by each VM for itself, or not at all.

Now one entry of the server's region divides its limit: VMs claim by their demand and are granted rates that never add up to more. Without a grant a VM uses the fixed share by which connections and the retry budget are divided already. All attempts pass one token bucket where the server is chosen, so that no way to a server escapes. What does not fit goes to another server or is refused at once. A delegate that knows that too few of its shards can be answered declines before it sends anything.

TestServeDelegated: "too few" asked for a shard without a server and got 502 after another shard had run.

--- a/shuntbalance/rate_limiter.go
+++ b/shuntbalance/rate_limiter.go
@@ -2,59 +2,243 @@
 
 import (
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
-// RateLimiter holds the rate limits that backend servers in need name in their
-// replies.
+const (
+	// ClaimInterval is how often a VM claims its part of the limits.
+	ClaimInterval = 250 * time.Millisecond
+	// grantDuration is how long a grant is valid: some claims or grants may be lost.
+	grantDuration = 4 * ClaimInterval
+	// demandWeight is the weight of the last ClaimInterval in the demand.
+	demandWeight = 0.15
+	// negligibleDemand is the fraction of its share of a limit up to which a VM claims
+	// nothing.
+	negligibleDemand = 0.1
+	// rateBucketDuration is the time for which unused rate accumulates in a VM's token
+	// bucket. The bucket holds one request at least.
+	rateBucketDuration = time.Second
+	// minServerRate, in requests per second, replaces lower limits: only the replies of
+	// a server tell when its limit ends.
+	minServerRate = 0.2
+)
+
+// RateClaim is what a VM claims of the limit that a server names.
+type RateClaim struct {
+	Server Incarnation
+	// Region is the server's region.
+	Region string
+	// Limit is the limit that the server named, in requests per second from all VMs, and
+	// Age the time since then.
+	Limit float64
+	Age   time.Duration
+	// Demand is the number of requests per second for which the server is this VM's
+	// first choice; 0 gives the claim up. Held is the rate that the VM has been granted.
+	Demand float64
+	Held   float64
+}
+
+// RateGrant allows a VM to send requests to a server that names a limit, at a rate in
+// requests per second. It replaces the VM's earlier grant for the server.
+type RateGrant struct {
+	Server Incarnation
+	Rate   float64
+}
+
+// RateLimiterConfig configures a RateLimiter.
+type RateLimiterConfig struct {
+	// Share returns this VM's fraction, from 0 to 1, of limits that are divided without
+	// regard to demand.
+	Share func() float64
+}
+
+// RateLimiter keeps this VM within its part of the rate limits that backend servers in
+// need name in their replies. The part is what the VM responsible for a server has
+// granted (see RateDivider), or without a valid grant a fixed share.
 type RateLimiter struct {
-	mu sync.Mutex
-	// limits are in requests per second.
-	limits map[Incarnation]float64
+	config RateLimiterConfig
+
+	mu      sync.Mutex
+	servers map[Incarnation]*limitedServer
+	// claimsAt is when Claims was last called.
+	claimsAt time.Time
+}
+
+// limitedServer is the state of a server that names a limit.
+type limitedServer struct {
+	server shuntroute.Server
+	limit  float64
+	// namedAt is when a reply last named the limit.
+	namedAt      time.Time
+	granted      float64
+	grantedUntil time.Time
+	tokens       float64
+	refilledAt   time.Time
+	// wanted counts the requests since the last claims for which the server was the
+	// first choice.
+	wanted  int
+	demand  float64
+	claimed bool
 }
 
 // NewRateLimiter returns a limiter without limits.
-func NewRateLimiter() *RateLimiter { return &RateLimiter{limits: map[Incarnation]float64{}} }
+func NewRateLimiter(c RateLimiterConfig) *RateLimiter {
+	return &RateLimiter{config: c, servers: map[Incarnation]*limitedServer{}, claimsAt: time.Now()}
+}
 
 // Limit records that a reply of the server names a limit, in requests per second from
 // all VMs together.
 func (l *RateLimiter) Limit(s shuntroute.Server, perSecond float64) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, limited := l.limits[IncarnationOf(s)]
-	if limited && before == perSecond {
-		return
+	r := l.servers[IncarnationOf(s)]
+	if r == nil {
+		r = &limitedServer{server: s, refilledAt: now}
+		l.servers[IncarnationOf(s)] = r
+	}
+	r.namedAt = now
+	if limit := max(minServerRate, perSecond); limit != r.limit {
+		klog.InfoS("Backend server limits its rate", "server", s.ID, "service", s.Service, "perSecond", perSecond, "before", r.limit)
+		r.limit = limit
 	}
-	l.limits[IncarnationOf(s)] = perSecond
-	klog.InfoS("Backend server limits its rate", "server", s.ID, "service", s.Service, "perSecond", perSecond, "before", before, "limited", limited)
 }
 
 // Unlimit records that a reply of the server names no limit.
 func (l *RateLimiter) Unlimit(s shuntroute.Server) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, limited := l.limits[IncarnationOf(s)]
-	if !limited {
-		return
+	if r := l.servers[IncarnationOf(s)]; r != nil {
+		delete(l.servers, IncarnationOf(s))
+		klog.InfoS("Backend server no longer limits its rate", "server", s.ID, "service", s.Service, "before", r.limit)
+	}
+}
+
+// Take reports whether a request may be sent to the server, and if so counts it.
+func (l *RateLimiter) Take(s shuntroute.Server) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.servers[IncarnationOf(s)]
+	if r == nil {
+		return true
+	}
+	r.wanted++
+	l.refill(r, time.Now())
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+// Return takes back a request that Take has counted and that was not sent.
+func (l *RateLimiter) Return(s shuntroute.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.servers[IncarnationOf(s)]; r != nil {
+		r.tokens++
+		l.refill(r, time.Now())
+	}
+}
+
+// Available reports whether a request may be sent to the server, without counting it.
+func (l *RateLimiter) Available(s shuntroute.Server) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.servers[IncarnationOf(s)]
+	if r == nil {
+		return true
+	}
+	l.refill(r, time.Now())
+	return r.tokens >= 1
+}
+
+// Want records a request that would have been sent to the server but for its limit.
+func (l *RateLimiter) Want(s shuntroute.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.servers[IncarnationOf(s)]; r != nil {
+		r.wanted++
 	}
-	delete(l.limits, IncarnationOf(s))
-	klog.InfoS("Backend server no longer limits its rate", "server", s.ID, "service", s.Service, "before", before)
+}
+
+// rate returns the rate that this VM may use, in requests per second.
+func (l *RateLimiter) rate(r *limitedServer, now time.Time) float64 {
+	if now.Before(r.grantedUntil) {
+		return min(r.granted, r.limit)
+	}
+	return l.config.Share() * r.limit
+}
+
+func (l *RateLimiter) refill(r *limitedServer, now time.Time) {
+	rate := l.rate(r, now)
+	size := max(1, rate*rateBucketDuration.Seconds())
+	r.tokens = min(size, r.tokens+rate*now.Sub(r.refilledAt).Seconds())
+	r.refilledAt = now
 }
 
 // Limited reports whether the server names a limit.
 func (l *RateLimiter) Limited(s shuntroute.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, limited := l.limits[IncarnationOf(s)]
-	return limited
+	return l.servers[IncarnationOf(s)] != nil
 }
 
 // Count returns the number of servers that name a limit.
 func (l *RateLimiter) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.limits)
+	return len(l.servers)
+}
+
+// Claims returns what this VM claims of the servers' limits. It must be called once in
+// each ClaimInterval.
+func (l *RateLimiter) Claims(now time.Time) []RateClaim {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	elapsed := max(ClaimInterval, now.Sub(l.claimsAt))
+	l.claimsAt = now
+	var out []RateClaim
+	for id, r := range l.servers {
+		r.demand += demandWeight * (float64(r.wanted)/elapsed.Seconds() - r.demand)
+		r.wanted = 0
+		c := RateClaim{Server: id, Region: r.server.Region, Limit: r.limit, Age: now.Sub(r.namedAt), Demand: r.demand}
+		if now.Before(r.grantedUntil) {
+			c.Held = r.granted
+		}
+		if r.demand < negligibleDemand*l.config.Share()*r.limit {
+			if !r.claimed {
+				continue
+			}
+			c.Demand = 0
+		}
+		r.claimed = c.Demand > 0
+		out = append(out, c)
+	}
+	return out
+}
+
+// Grant puts a grant into force.
+func (l *RateLimiter) Grant(g RateGrant, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.servers[g.Server]; r != nil && r.claimed {
+		l.refill(r, now)
+		r.granted, r.grantedUntil = g.Rate, now.Add(grantDuration)
+	}
+}
+
+// Prune removes servers whose limit has not been confirmed for a long time.
+func (l *RateLimiter) Prune(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, r := range l.servers {
+		if now.Sub(r.namedAt) > pruneAfter {
+			delete(l.servers, id)
+		}
+	}
 }
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -240,9 +240,15 @@
 	if !r.mayLaunch() {
 		return
 	}
-	if s, ok := r.choose(true); ok && r.takeBudget(hedgeReserve) {
-		r.launch(whyHedge, s)
+	s, ok := r.choose(true)
+	if !ok {
+		return
 	}
+	if !r.takeBudget(hedgeReserve) {
+		r.caller.config.RateLimiter.Return(s)
+		return
+	}
+	r.launch(whyHedge, s)
 }
 
 // handleResult processes the result of one attempt and reports whether the call is
@@ -316,6 +322,9 @@
 	free := e.outcome.Status == shuntupstream.NotSent || e.outcome.Status == shuntupstream.NoRoom
 	s, ok := r.choose(true)
 	if !free && !r.takeBudget(0) {
+		if ok {
+			r.caller.config.RateLimiter.Return(s)
+		}
 		return false
 	}
 	if ok {
@@ -361,9 +370,9 @@
 	return true
 }
 
-// choose returns the best remaining server: a warm one or, if there is none, a cold
-// one whose rate limit allows the request. reachable excludes servers that were
-// recently unreachable.
+// choose returns the best remaining server whose rate limit allows the request: a warm
+// one or, if there is none, a cold one. reachable excludes servers that were recently
+// unreachable. The request counts for the limits of the server that is returned.
 func (r *call) choose(reachable bool) (shuntroute.Server, bool) {
 	c := r.caller.config
 	now := time.Now()
@@ -373,21 +382,48 @@
 	for _, s := range all {
 		switch {
 		case !r.call.Route.Allows(s.Region):
-		case s.Cold(now):
-			cold = append(cold, s)
-		default:
+		case !s.Cold(now):
 			warm = append(warm, s)
+		case c.Fleet.IsResponsibleFor(s.ID):
+			cold = append(cold, s)
 		}
 	}
-	if s, ok := c.Balancer.Choose(warm, shuntbalance.ChooseOptions{Exclude: r.tried, Reachable: reachable}); ok {
+	if s, ok := r.chooseWithin(warm, reachable, r.withinRateLimit); ok {
 		return s, true
 	}
-	cold = slices.DeleteFunc(cold, func(s shuntroute.Server) bool { return !c.Fleet.IsResponsibleFor(s.ID) })
-	s, ok := c.Balancer.Choose(cold, shuntbalance.ChooseOptions{Exclude: r.tried, Reachable: reachable})
-	if !ok || !c.ColdLimiter.Allow(shuntbalance.IncarnationOf(s), c.ColdRate(r.call.Service)) {
-		return shuntroute.Server{}, false
+	return r.chooseWithin(cold, reachable, func(s shuntroute.Server) bool {
+		if !r.withinRateLimit(s) {
+			return false
+		}
+		if !c.ColdLimiter.Allow(shuntbalance.IncarnationOf(s), c.ColdRate(r.call.Service)) {
+			c.RateLimiter.Return(s)
+			return false
+		}
+		return true
+	})
+}
+
+// chooseWithin returns the best remaining server for which take reports that its limits
+// allow the request.
+func (r *call) chooseWithin(servers []shuntroute.Server, reachable bool, take func(shuntroute.Server) bool) (shuntroute.Server, bool) {
+	exclude := r.tried
+	for {
+		s, ok := r.caller.config.Balancer.Choose(servers, shuntbalance.ChooseOptions{Exclude: exclude, Reachable: reachable})
+		if !ok || take(s) {
+			return s, ok
+		}
+		exclude = append(slices.Clone(exclude), shuntbalance.IncarnationOf(s))
 	}
-	return s, true
+}
+
+// withinRateLimit reports whether the server's rate limit allows the request, and if
+// so counts it.
+func (r *call) withinRateLimit(s shuntroute.Server) bool {
+	if !r.caller.config.RateLimiter.Take(s) {
+		r.caller.config.Metrics.HeldBack.Inc()
+		return false
+	}
+	return true
 }
 
 func (c *Caller) attempt(ctx context.Context, in Call, s shuntroute.Server) attemptResult {
@@ -398,6 +434,9 @@
 	to := shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: max(1, int(share)), CloseAfterUse: share < 1,
 		MaxWait: time.Duration(connWaitFraction * float64(in.Route.LatencyGoal))}
 	o := c.config.Pool.Do(ctx, to, in.Route.Idempotent, in.Request)
+	if o.Status == shuntupstream.NotSent || o.Status == shuntupstream.NoRoom {
+		c.config.RateLimiter.Return(s)
+	}
 	c.config.Balancer.End(s, a, balancerResult(o))
 	c.detectCrash(in, s, o)
 	c.observeLimit(s, o)
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -113,7 +113,7 @@
 		DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
 		Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: f.Share}),
 		ColdLimiter:      shuntbalance.NewColdLimiter(),
-		RateLimiter:      shuntbalance.NewRateLimiter(),
+		RateLimiter:      shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: f.Share}),
 		Throttle:         shuntbalance.NewThrottle(),
 		Fleet:            f,
 		Group:            &w.group,
--- a/shuntcall/delegate.go
+++ b/shuntcall/delegate.go
@@ -103,6 +103,22 @@
 	return zone, ok
 }
 
+// limited reports whether all servers of the shard that can be reached limit their
+// rate. This VM queries such shards itself: only a VM that has a part of the limits of
+// all shards can tell in advance whether a query can be served.
+func (c *Caller) limited(shard string) bool {
+	limited := false
+	for _, s := range c.config.View().Servers(shard) {
+		switch {
+		case c.config.RateLimiter.Limited(s):
+			limited = true
+		case !c.config.Balancer.RecentlyUnreachable(s):
+			return false
+		}
+	}
+	return limited
+}
+
 // chooseRemote chooses a VM in another region to gather the shards that have no
 // server in this one. For indexes that are spread over regions, one message crosses
 // regions instead of one per shard, and the servers there receive connections from
@@ -110,7 +126,7 @@
 func (c *Caller) chooseRemote(q Query, localZones map[string]string) delegation {
 	remote := slices.DeleteFunc(slices.Clone(q.Route.Shards), func(shard string) bool {
 		_, local := localZones[shard]
-		return local
+		return local || c.limited(shard)
 	})
 	if len(remote) < minDelegatedShards {
 		return delegation{}
--- a/shuntcall/metrics.go
+++ b/shuntcall/metrics.go
@@ -15,17 +15,19 @@
 	docExtra     = shuntmetric.Doc{Name: "mulberryshunt_upstream_extra_total", Type: "Counter", Text: "Attempts beyond the first of a request at a service: hedges and retries.", Since: "0.2"}
 	docDelegated = shuntmetric.Doc{Name: "mulberryshunt_shards_delegated_total", Labels: "End", Type: "Counter", Text: "Shards that a VM of another region was asked to gather, by how that ended; Refused ones were then asked directly.", Since: "0.3"}
 	docLimited   = shuntmetric.Doc{Name: "mulberryshunt_limited_attempts_total", Labels: "Why", Type: "Counter", Text: "Attempts at backend servers that limit their rate, by why they were made.", Since: "0.4"}
+	docHeldBack  = shuntmetric.Doc{Name: "mulberryshunt_rate_limited_total", Type: "Counter", Text: "Times that a request could not go to a backend server because of the server's rate limit. It then went to another one or was refused.", Since: "0.4"}
 	docLatency   = shuntmetric.Doc{Name: "mulberryshunt_upstream_seconds", Type: "Histogram", Unit: "seconds", Text: "Time of attempts that were answered.", Since: "0.2"}
 )
 
 // MetricDocs returns the documentation of this package's metrics.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docAttempts, docExtra, docDelegated, docLimited, docLatency}
+	return []shuntmetric.Doc{docAttempts, docExtra, docDelegated, docLimited, docHeldBack, docLatency}
 }
 
 // Metrics holds the metrics of attempts and delegations.
 type Metrics struct {
 	ExtraAttempts *metrics.Counter
+	HeldBack      *metrics.Counter
 	delegated     map[CallStatus]*metrics.Counter
 	latency       *metrics.Histogram
 	statuses      map[shuntupstream.Status]*metrics.Counter
@@ -36,6 +38,7 @@
 func NewMetrics(set *metrics.Set) *Metrics {
 	m := &Metrics{
 		ExtraAttempts: shuntmetric.Counter(set, docExtra, ""),
+		HeldBack:      shuntmetric.Counter(set, docHeldBack, ""),
 		latency:       shuntmetric.Histogram(set, docLatency, ""),
 		statuses:      map[shuntupstream.Status]*metrics.Counter{},
 		delegated:     map[CallStatus]*metrics.Counter{},
--- a/shuntcall/rate_limit_test.go
+++ b/shuntcall/rate_limit_test.go
@@ -9,7 +9,6 @@
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
-	"mulberryshunt.example/mulberryshunt/shunttest"
 )
 
 // Limits of what a server that names a rate limit may get: in any limitWindow, from
@@ -101,7 +100,6 @@
 // TestRateLimitExceeded checks that a server that names a limit does not get more from
 // all VMs together, in whichever way requests reach it.
 func TestRateLimitExceeded(t *testing.T) {
-	shunttest.SkipKnownRed(t)
 	const limit = 20
 	one := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2}
 	all := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, Shards: []string{"s"}, MinCoverage: 1}
@@ -137,7 +135,6 @@
 // TestRateLimitRefusal checks that a request that fits into no server's limit is
 // refused at once, as not run.
 func TestRateLimitRefusal(t *testing.T) {
-	shunttest.SkipKnownRed(t)
 	cases := map[string]*shuntroute.Route{
 		"to one service": {Idempotent: true, LatencyGoal: goal, MaxAttempts: 2},
 		"to all shards":  {Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, Shards: []string{"s"}, MinCoverage: 1},
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -97,6 +97,7 @@
 	}
 	g := newQueryState(q, q.allShards())
 	if reason, ok := c.unservable(q, g.subset); ok {
+		c.recordDemand(q, g.subset.Shards)
 		return Answer{Status: Refused, Missing: len(q.Route.Shards), Reason: reason}
 	}
 	a := c.gather(ctx, q, g, c.divide(q))
@@ -106,6 +107,10 @@
 
 // Gather queries one server of each shard of the subset on behalf of another VM.
 func (c *Caller) Gather(ctx context.Context, q Query, s Subset) Answer {
+	if reason, ok := c.unservable(q, s); ok {
+		c.recordDemand(q, s.Shards)
+		return Answer{Status: Refused, Missing: len(s.Shards), Reason: reason}
+	}
 	return c.gather(ctx, q, newQueryState(q, s), nil)
 }
 
@@ -168,12 +173,36 @@
 }
 
 // askable reports whether the shard has a server that may be asked: one that is
-// allowed, not known to be down, and warm or in this VM's charge.
+// allowed, not known to be down, warm or in this VM's charge, and within its rate limit.
+// If another server of the shard is held back by its limit, one that was recently
+// unreachable does not count either: with nothing to fall back on, trying it again
+// would cost the whole query.
 func (c *Caller) askable(q Query, shard string) bool {
 	now := time.Now()
-	return slices.ContainsFunc(c.config.View().Servers(shard), func(v shuntroute.Server) bool {
-		return q.Route.Allows(v.Region) && !c.config.Balancer.Down(v) && (!v.Cold(now) || c.config.Fleet.IsResponsibleFor(v.ID))
-	})
+	down := c.config.Balancer.Down
+	var candidates []shuntroute.Server
+	for _, v := range c.config.View().Servers(shard) {
+		switch {
+		case !q.Route.Allows(v.Region) || (v.Cold(now) && !c.config.Fleet.IsResponsibleFor(v.ID)):
+		case !c.config.RateLimiter.Available(v):
+			down = c.config.Balancer.RecentlyUnreachable
+		default:
+			candidates = append(candidates, v)
+		}
+	}
+	return slices.ContainsFunc(candidates, func(v shuntroute.Server) bool { return !down(v) })
+}
+
+// recordDemand records that the shards' servers would have been asked but for their
+// rate limits, so that this VM claims a larger part of them.
+func (c *Caller) recordDemand(q Query, shards []string) {
+	for _, shard := range shards {
+		for _, v := range c.config.View().Servers(shard) {
+			if q.Route.Allows(v.Region) {
+				c.config.RateLimiter.Want(v)
+			}
+		}
+	}
 }
 
 func (c *Caller) askShard(ctx context.Context, q Query, shard string) shardResult {
--- /dev/null
+++ b/shuntmember/limits_test.go
@@ -0,0 +1,340 @@
+package shuntmember
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
+	"mulberryshunt.example/mulberryshunt/shuntroute"
+)
+
+// limitVM is a VM of a limitFleet.
+type limitVM struct {
+	list     *MemberList
+	limiter  *shuntbalance.RateLimiter
+	exchange *limitExchange
+	snapshot *Snapshot
+	started  time.Time
+	// demand is the number of requests per second to the server.
+	demand  float64
+	running bool
+}
+
+// limitFleet is a fleet of VMs in virtual time that send to one backend server. Only
+// the network, the server and the heartbeats are simulated.
+type limitFleet struct {
+	server shuntroute.Server
+	// limit is what the server names in its replies; 0 if it names none.
+	limit float64
+	vms   []*limitVM
+	// cut reports whether datagrams from one VM to the other are lost.
+	cut      func(from, to int) bool
+	random   *rand.Rand
+	pending  map[time.Time][]func()
+	arrivals []time.Time
+}
+
+const (
+	limitStep  = 10 * time.Millisecond
+	limitDelay = 2 * limitStep
+)
+
+func newLimitFleet(n int, seed uint64) *limitFleet {
+	f := &limitFleet{
+		server: shuntroute.Server{ID: "i-1", Region: "a", Service: "s"},
+		vms:    make([]*limitVM, n), cut: func(int, int) bool { return false },
+		random: rand.New(rand.NewPCG(seed, seed)), pending: map[time.Time][]func(){},
+	}
+	for i := range n {
+		f.start(i)
+	}
+	return f
+}
+
+// start starts a VM, or replaces its process by a new one that knows nothing.
+func (f *limitFleet) start(i int) {
+	self := newReports(i+1, equalCapacity)[i]
+	self.Start = uint64(time.Now().UnixMilli())
+	v := &limitVM{list: NewMemberList(self, regionOf), started: time.Now(), running: true}
+	if f.vms[i] != nil {
+		v.demand = f.vms[i].demand
+	}
+	v.snapshot = v.list.Snapshot(time.Now(), false)
+	v.limiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return v.snapshot.Share() }})
+	v.exchange = &limitExchange{
+		self: self.Address, limits: v.limiter, divider: shuntbalance.NewRateDivider(), snapshot: func() *Snapshot { return v.snapshot },
+		send: func(b []byte, to netip.AddrPort) { f.deliver(i, to, b) },
+	}
+	f.vms[i] = v
+}
+
+// after runs a function after a delay.
+func (f *limitFleet) after(d time.Duration, run func()) {
+	at := time.Now().Add(d).Truncate(limitStep)
+	f.pending[at] = append(f.pending[at], run)
+}
+
+// deliver delivers a datagram with claims or grants.
+func (f *limitFleet) deliver(from int, to netip.AddrPort, b []byte) {
+	for i, v := range f.vms {
+		if v.list.Self().Address == to && !f.cut(from, i) {
+			f.after(limitDelay, func() {
+				if v.running {
+					_, _ = v.exchange.handle(vm(from), b, time.Now())
+				}
+			})
+		}
+	}
+}
+
+// heartbeat sends the reports of a VM to two others, and refreshes its snapshot.
+func (f *limitFleet) heartbeat(i int) {
+	now, v := time.Now(), f.vms[i]
+	v.list.IncrementHeartbeat()
+	v.list.Expire(v.snapshot.preferredVMs(), now)
+	reports := v.list.ReportsToSend(v.snapshot.preferredVMs(), maxOtherReports)
+	for _, to := range f.random.Perm(len(f.vms))[:min(3, len(f.vms))] {
+		if other := f.vms[to]; to != i && !f.cut(i, to) {
+			f.after(limitDelay, func() {
+				if other.running {
+					other.list.Merge(reports, time.Now())
+				}
+			})
+		}
+	}
+	v.snapshot = v.list.Snapshot(now, now.Sub(v.started) > startupTime)
+}
+
+// run simulates the fleet for the duration.
+func (f *limitFleet) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(limitStep) {
+		now := time.Now().Truncate(limitStep)
+		due := f.pending[now]
+		delete(f.pending, now)
+		for _, run := range due {
+			run()
+		}
+		for i, v := range f.vms {
+			// The VMs act at different moments.
+			age := time.Since(v.started).Truncate(limitStep) + time.Duration(i)*limitStep
+			if !v.running {
+				continue
+			}
+			if age%heartbeatInterval == 0 {
+				f.heartbeat(i)
+			}
+			if age%shuntbalance.ClaimInterval == 0 {
+				v.exchange.claim(now)
+			}
+			if f.random.Float64() < v.demand*limitStep.Seconds() && v.limiter.Take(f.server) {
+				f.request(v)
+			}
+		}
+	}
+}
+
+// request sends a request to the server, whose reply names its limit.
+func (f *limitFleet) request(v *limitVM) {
+	f.arrivals = append(f.arrivals, time.Now())
+	f.after(limitDelay, func() {
+		if f.limit > 0 {
+			v.limiter.Limit(f.server, f.limit)
+		} else {
+			v.limiter.Unlimit(f.server)
+		}
+	})
+}
+
+// busiest returns the largest number of arrivals within the window from the time on.
+func (f *limitFleet) busiest(from time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range f.arrivals {
+		if at.Before(from) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(f.arrivals[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// count returns the number of arrivals between two times.
+func (f *limitFleet) count(from, to time.Time) int {
+	n := 0
+	for _, at := range f.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// fromRegion reports whether VM i is in the region a, where the server is.
+func fromRegion(i int) bool { return regionOf(newReports(i+1, equalCapacity)[i].Zone) == "a" }
+
+// limitCase is something that happens to a fleet while a server names a limit.
+type limitCase struct {
+	// demand is the number of requests per second of each VM, in a fleet of six.
+	demand func(i int) float64
+	// happen changes the fleet after it has settled.
+	happen func(f *limitFleet)
+	// limit is the limit after that, if it is another.
+	limit float64
+	// used is the fraction of the limit that must be used at the end.
+	used float64
+}
+
+func (c limitCase) run(t *testing.T, vms int) {
+	const (
+		limit  = 24.0
+		settle = 10 * time.Second
+		length = 20 * time.Second
+	)
+	f := newLimitFleet(vms, 1)
+	f.limit = limit
+	f.eachVM(func(i int, v *limitVM) { v.demand = c.demand(i) * 6 / float64(vms) })
+	begin := time.Now()
+	f.run(settle)
+	if c.happen != nil {
+		c.happen(f)
+	}
+	happened := time.Now()
+	f.run(length)
+	f.checkBound(t, begin, max(limit, c.limit))
+	f.checkBound(t, happened, cmp.Or(c.limit, limit))
+	least := c.used * cmp.Or(c.limit, limit) * length.Seconds() / 2
+	if got := f.count(happened.Add(length/2), time.Now()); float64(got) < least {
+		t.Errorf("%d VMs: %d requests in the last %v; want %v at least", vms, got, length/2, least)
+	}
+}
+
+// TestLimitBindsFleet checks that all VMs together keep within the limit that a server
+// names, whatever happens to them, and that they use it.
+func TestLimitBindsFleet(t *testing.T) {
+	// most is the fraction of the limit that VMs use who want more and reach each other.
+	const most = 2.0 / 3
+	// near is where most requests to a server come from.
+	near := func(i int) float64 {
+		if fromRegion(i) {
+			return 30
+		}
+		return 1
+	}
+	half := func(from, to int) bool { return from%2 != to%2 }
+	cases := map[string]limitCase{
+		"uneven demand":  {demand: near, used: most},
+		"even demand":    {demand: func(int) float64 { return 10 }, used: most},
+		"one VM only":    {demand: func(i int) float64 { return 100 * float64(max(0, 1-i)) }, used: most},
+		"demand moves":   {demand: near, happen: func(f *limitFleet) { f.eachVM(func(i int, v *limitVM) { v.demand = near(i + 1) }) }, used: most},
+		"demand below":   {demand: func(int) float64 { return 2 }, used: 0.3},
+		"limit falls":    {demand: near, happen: func(f *limitFleet) { f.limit = 6 }, limit: 6, used: most},
+		"limit rises":    {demand: near, happen: func(f *limitFleet) { f.limit = 40 }, limit: 40, used: most},
+		"two VMs killed": {demand: near, happen: func(f *limitFleet) { f.vms[0].running, f.vms[1].running = false, false }, used: 0.5},
+		"a VM leaves": {demand: near, happen: func(f *limitFleet) {
+			f.vms[0].list.SetLeaving()
+			f.after(3*time.Second, func() { f.vms[0].running = false })
+		}, used: most},
+		"a VM restarts":    {demand: near, happen: func(f *limitFleet) { f.start(0) }, used: most},
+		"all VMs restart":  {demand: near, happen: func(f *limitFleet) { f.eachVM(func(i int, _ *limitVM) { f.start(i) }) }, used: most},
+		"half are cut off": {demand: near, happen: func(f *limitFleet) { f.cut = half }, used: 0.3},
+		"cut and healed": {demand: near, happen: func(f *limitFleet) {
+			f.cut = half
+			f.after(6*time.Second, func() { f.cut = func(int, int) bool { return false } })
+		}, used: most},
+		"each alone":   {demand: near, happen: func(f *limitFleet) { f.cut = func(int, int) bool { return true } }, used: 0.1},
+		"one way only": {demand: near, happen: func(f *limitFleet) { f.cut = func(from, _ int) bool { return from == 0 } }, used: 0.3},
+		"two don't reach each other": {demand: near, happen: func(f *limitFleet) {
+			f.cut = func(from, to int) bool { return min(from, to) == 0 && max(from, to) == 3 }
+		}, used: 0.3},
+	}
+	for name, c := range cases {
+		for _, vms := range []int{6, 20} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { c.run(t, vms) })
+			})
+		}
+	}
+}
+
+// checkBound checks that the server got no more than its limit allows in any window
+// that begins a window or more after the given time.
+func (f *limitFleet) checkBound(t *testing.T, since time.Time, limit float64) {
+	t.Helper()
+	const window = 4 * time.Second
+	allowed := 1.5*limit*window.Seconds() + 5
+	if got := f.busiest(since.Add(window), window); float64(got) > allowed {
+		t.Errorf("%d VMs: %d requests in %v; a limit of %v allows %v", len(f.vms), got, window, limit, allowed)
+	}
+}
+
+func (f *limitFleet) eachVM(do func(i int, v *limitVM)) {
+	for i, v := range f.vms {
+		do(i, v)
+	}
+}
+
+// TestLimitEnds checks that all VMs send as they like once the server names no limit.
+func TestLimitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(6, 1)
+		f.limit = 6
+		f.eachVM(func(_ int, v *limitVM) { v.demand = 10 })
+		f.run(8 * time.Second)
+		f.limit = 0
+		f.run(4 * time.Second)
+		ended := time.Now()
+		f.run(4 * time.Second)
+		if got := f.count(ended, time.Now()); got < 200 {
+			t.Errorf("%d requests in 4 s after the end of the limit; wanted are 240", got)
+		}
+	})
+}
+
+// TestLimitDatagrams checks that claims and grants can be decoded after they were
+// encoded, that they are divided among datagrams, and that other bytes cause an error
+// and no panic.
+func TestLimitDatagrams(t *testing.T) {
+	var claims []shuntbalance.RateClaim
+	var grants []shuntbalance.RateGrant
+	for i := range 200 {
+		server := shuntbalance.Incarnation{ID: "i-0123456789", StartMillis: 1700000000000 + int64(i)}
+		claims = append(claims, shuntbalance.RateClaim{Server: server, Region: "north", Limit: 23.8, Age: 1500 * time.Millisecond, Demand: 4.125, Held: 0.5})
+		grants = append(grants, shuntbalance.RateGrant{Server: server, Rate: 7.25})
+	}
+	var gotClaims []shuntbalance.RateClaim
+	for _, b := range encodeEach(claimsVersion, claims, appendClaim) {
+		r := &reader{rest: b[1:]}
+		gotClaims = slices.Concat(gotClaims, readAll(r, (*reader).claim))
+		if r.err != nil || len(b) > maxDatagram {
+			t.Errorf("%d bytes: %v", len(b), r.err)
+		}
+	}
+	if !reflect.DeepEqual(gotClaims, claims) {
+		t.Errorf("got claims %+v", gotClaims[:1])
+	}
+	var gotGrants []shuntbalance.RateGrant
+	for _, b := range encodeEach(grantsVersion, grants, appendGrant) {
+		gotGrants = slices.Concat(gotGrants, readAll(&reader{rest: b[1:]}, (*reader).grant))
+	}
+	if !reflect.DeepEqual(gotGrants, grants) {
+		t.Errorf("got grants %+v", gotGrants[:1])
+	}
+	x := newLimitFleet(1, 1).vms[0].exchange
+	rapid.Check(t, func(rt *rapid.T) {
+		junk := rapid.SliceOf(rapid.Byte()).Draw(rt, "bytes")
+		for _, version := range []byte{claimsVersion, grantsVersion} {
+			_, _ = x.handle(vm(1), append([]byte{version}, junk...), time.Now())
+		}
+	})
+}
--- a/shuntmember/member_list.go
+++ b/shuntmember/member_list.go
@@ -84,13 +84,17 @@
 	// fewReadersSince is since when fewer than minReaders VMs of this VM's region
 	// have reached the platform; zero while enough do.
 	fewReadersSince time.Time
+	// lastEntries holds the entries of each region, and entriesSince since when they
+	// have been the same.
+	lastEntries  map[string][]netip.AddrPort
+	entriesSince map[string]time.Time
 }
 
 // NewMemberList returns a list that only contains this VM. self.Start is the
 // time at which the process started, in milliseconds. regionOf returns the
 // region of a zone.
 func NewMemberList(self Report, regionOf func(zone string) string) *MemberList {
-	return &MemberList{self: self, regionOf: regionOf, members: map[netip.AddrPort]*member{}}
+	return &MemberList{self: self, regionOf: regionOf, members: map[netip.AddrPort]*member{}, lastEntries: map[string][]netip.AddrPort{}, entriesSince: map[string]time.Time{}}
 }
 
 // IncrementHeartbeat increments this VM's heartbeat counter.
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
 	"mulberryshunt.example/mulberryshunt/shuntcatalog"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
@@ -335,7 +336,8 @@
 			Seeds: func() []netip.AddrPort {
 				return []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 7, 1}), 17360)}
 			},
-			Guard: shuntguard.New(shuntguard.Config{}),
+			Guard:      shuntguard.New(shuntguard.Config{}),
+			RateLimits: shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}),
 			ChangesSince: func(int64) shuntcatalog.Delta {
 				return shuntcatalog.Delta{State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{{Key: "k", Revision: 9, Value: []byte("v")}}}}
 			},
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
 	"mulberryshunt.example/mulberryshunt/shuntcatalog"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
@@ -64,6 +65,8 @@
 	// Guard provides and receives the suspicions that are exchanged with the
 	// reports.
 	Guard SuspicionTable
+	// RateLimits holds the limits of backend servers that this VM divides with others.
+	RateLimits RateLimits
 	// ChangesSince returns the changes after a revision that this VM knows of.
 	ChangesSince func(revision int64) shuntcatalog.Delta
 }
@@ -78,6 +81,7 @@
 // Node exchanges reports with the other VMs.
 type Node struct {
 	config   Config
+	limits   *limitExchange
 	updates  chan func(*MemberList)
 	snapshot atomic.Pointer[Snapshot]
 	socket   *net.UDPConn
@@ -87,6 +91,10 @@
 // NewNode returns a Node that has not started.
 func NewNode(c Config) *Node {
 	n := &Node{config: c, updates: make(chan func(*MemberList), 64)}
+	n.limits = &limitExchange{
+		self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot,
+		send: func(b []byte, to netip.AddrPort) { n.send(b, []netip.AddrPort{to}) },
+	}
 	n.snapshot.Store(n.newMemberList().Snapshot(time.Now(), false))
 	return n
 }
@@ -123,6 +131,7 @@
 	})
 	n.config.Group.Go(func() { n.receive(ctx) })
 	n.config.Group.Go(func() { n.run(ctx) })
+	n.config.Group.Go(func() { n.claimLimits(ctx) })
 	n.config.Group.Go(func() { n.serveState(ctx) })
 	return nil
 }
@@ -249,9 +258,16 @@
 }
 
 func (n *Node) handleDatagram(ctx context.Context, from netip.AddrPort, b []byte) {
-	suspicions, reports, err := decodeDatagram(b)
+	isLimits, err := n.limits.handle(from, b, time.Now())
+	var suspicions []shuntguard.Suspicion
+	var reports []Report
+	if !isLimits {
+		suspicions, reports, err = decodeDatagram(b)
+	}
 	if err != nil {
 		klog.InfoS("Ignoring malformed datagram", "from", from, "bytes", len(b), "reason", err.Error())
+	}
+	if err != nil || isLimits {
 		return
 	}
 	n.config.Guard.Merge(suspicions)
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -42,6 +42,9 @@
 	// for its share during startupTime, because it may not have heard of all of
 	// them yet.
 	minStartupEntries = 6
+	// agreementTime is how long after a change of the entries of a region VMs may still
+	// know the earlier ones.
+	agreementTime = 2 * time.Second
 	// startupTime is how long after its start a process may not know all VMs.
 	startupTime = 3 * time.Second
 )
@@ -53,15 +56,28 @@
 	// the order of preference for callers.
 	regions  map[string][]Report
 	entries  map[netip.AddrPort]bool
-	share    float64
+	shares   shares
 	isReader bool
+	// entriesSince is since when the entries of each region have been the same.
+	entriesSince map[string]time.Time
 	// settled is false during startupTime.
 	settled bool
 }
 
+// shares are the parts of common limits that VMs may use.
+type shares struct {
+	// entry is the part of an entry, and other that of any other VM.
+	entry, other float64
+	// silent holds the VMs that are not heard from but may still be alive, and whether
+	// they count as entries. leaving holds the VMs that are about to stop.
+	silent  map[netip.AddrPort]bool
+	leaving map[netip.AddrPort]bool
+}
+
 // Snapshot returns an immutable view of the list at time now.
 func (l *MemberList) Snapshot(now time.Time, settled bool) *Snapshot {
 	s := &Snapshot{self: l.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}, settled: settled}
+	s.shares = shares{silent: map[netip.AddrPort]bool{}, leaving: map[netip.AddrPort]bool{}}
 	// known also holds VMs that became silent recently. They may still be alive
 	// and use their shares without being reachable from this VM.
 	known := map[string][]Report{}
@@ -75,8 +91,13 @@
 		if now.Sub(m.lastHeard) <= shareRetention {
 			known[region] = append(known[region], m.report)
 		}
-		if m.alive && !m.report.Leaving {
+		switch {
+		case m.report.Leaving:
+			s.shares.leaving[m.report.Address] = true
+		case m.alive:
 			s.regions[region] = append(s.regions[region], m.report)
+		case now.Sub(m.lastHeard) <= shareRetention:
+			s.shares.silent[m.report.Address] = false
 		}
 	}
 	fresh := func(a netip.AddrPort) bool {
@@ -93,9 +114,15 @@
 	for _, reports := range known {
 		l.sort(reports)
 		total += len(reports)
-		entries += len(l.selectEntries(reports, anyAddress))
+		for _, e := range l.selectEntries(reports, anyAddress) {
+			entries++
+			if _, silent := s.shares.silent[e.Address]; silent {
+				s.shares.silent[e.Address] = true
+			}
+		}
 	}
-	s.share = s.computeShare(total, entries, settled)
+	s.shares.entry, s.shares.other = divideShares(total, entries, settled)
+	s.entriesSince = l.trackEntries(s, now)
 	s.isReader = s.shouldRead(own, l.trackReaders(s.regions[own], now))
 	return s
 }
@@ -187,23 +214,34 @@
 	return out
 }
 
-// computeShare returns the part of the common limits that this VM may use,
-// given the number of known VMs and of entries among them. If all VMs know the
-// same VMs, their shares add up to at most 1, even after they have just lost
+// divideShares returns the parts of the common limits that an entry and any other VM
+// may use, given the number of known VMs and of entries among them. If all VMs know
+// the same VMs, their shares add up to at most 1, even after they have just lost
 // contact with each other.
-func (s *Snapshot) computeShare(known, entries int, settled bool) float64 {
+func divideShares(known, entries int, settled bool) (entry, other float64) {
 	others := max(1, known-entries)
 	entries = max(1, entries)
 	if !settled {
 		entries = max(entries, minStartupEntries)
 	}
-	switch {
-	case known <= entries:
-		return 1 / float64(entries)
-	case s.entries[s.self] || len(s.entries) == 0:
-		return entryShare / float64(entries)
+	if known <= entries {
+		return 1 / float64(entries), 1 / float64(entries)
 	}
-	return (1 - entryShare) / float64(others)
+	return entryShare / float64(entries), (1 - entryShare) / float64(others)
+}
+
+// trackEntries returns since when the entries of each region have been the same.
+func (l *MemberList) trackEntries(s *Snapshot, now time.Time) map[string]time.Time {
+	out := make(map[string]time.Time, len(s.regions))
+	for region := range s.regions {
+		entries := s.entryAddresses(region)
+		slices.SortFunc(entries, netip.AddrPort.Compare)
+		if !slices.Equal(entries, l.lastEntries[region]) {
+			l.lastEntries[region], l.entriesSince[region] = entries, now
+		}
+		out[region] = l.entriesSince[region]
+	}
+	return out
 }
 
 // trackReaders returns how long fewer than minReaders of the given VMs have reached
@@ -281,7 +319,42 @@
 
 // Share returns the part of the limits common to all VMs that this VM may use,
 // from 0 to 1.
-func (s *Snapshot) Share() float64 { return s.share }
+func (s *Snapshot) Share() float64 { return s.ShareOf(s.self) }
+
+// ShareOf returns the part of the limits common to all VMs that the VM may use, from
+// 0 to 1. It is 0 for a VM that is leaving, unless that is this VM itself.
+func (s *Snapshot) ShareOf(vm netip.AddrPort) float64 {
+	switch {
+	case s.shares.leaving[vm]:
+		return 0
+	case s.entries[vm] || s.shares.silent[vm] || len(s.entries) == 0:
+		return s.shares.entry
+	}
+	return s.shares.other
+}
+
+// Silent returns the VMs that are not heard from but may still be alive.
+func (s *Snapshot) Silent() []netip.AddrPort { return slices.Collect(maps.Keys(s.shares.silent)) }
+
+// Divider returns the VM that divides the limit of a backend server in the region
+// among all VMs: one of the region's entries, since they send most of what the server
+// gets, or of all entries if the region has none.
+func (s *Snapshot) Divider(server, region string) netip.AddrPort {
+	var best netip.AddrPort
+	var maxWeight uint64
+	for _, a := range s.Entries(region) {
+		if w := weight(a, server); w >= maxWeight {
+			best, maxWeight = a, w
+		}
+	}
+	return best
+}
+
+// Divides reports whether this VM divides the limit of a backend server, and has
+// known the same entries for so long that the others agree on it.
+func (s *Snapshot) Divides(server, region string, now time.Time) bool {
+	return s.settled && s.Divider(server, region) == s.self && now.Sub(s.entriesSince[region]) >= agreementTime
+}
 
 // IsEntry reports whether callers are sent to this VM. It is false right after
 // the start, when the VM may not know of any others.
--- a/shuntrouter/handler_test.go
+++ b/shuntrouter/handler_test.go
@@ -84,6 +84,9 @@
 		if r.URL.Path == "/one/error" {
 			w.WriteHeader(http.StatusTeapot)
 		}
+		if r.URL.Path == "/all/fails" && r.Header.Get("For") == "i-b" {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
 		_, _ = fmt.Fprintf(w, "%-16s", r.Header.Get("For")+string(body))
 	}))
 	t.Cleanup(backend.Close)
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -110,17 +110,18 @@
 		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
 		delegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
 		coldLimiter:      shuntbalance.NewColdLimiter(),
-		rateLimiter:      shuntbalance.NewRateLimiter(),
 		throttle:         shuntbalance.NewThrottle(),
 		metrics:          newRouterMetrics(c.Metrics),
 		conns:            newCallerConns(),
 	}
 	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
+	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }})
 	registerGauges(c.Metrics, r)
 	r.node = shuntmember.NewNode(shuntmember.Config{
 		Address: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf:     func(zone string) string { return s.RegionByZone[zone] },
 		Guard:        guard,
+		RateLimits:   r.rateLimiter,
 		ChangesSince: func(revision int64) shuntcatalog.Delta { return r.follower.ChangesSince(r.ctx, revision) },
 	})
 	r.follower = shuntcatalog.NewFollower(shuntcatalog.FollowerConfig{
@@ -192,6 +193,7 @@
 			r.delegateBalancer.Prune(now)
 			r.caller.Prune(now)
 			r.coldLimiter.Prune(now)
+			r.rateLimiter.Prune(now)
 			r.throttle.Prune(now)
 		case <-ctx.Done():
 			return
