--- a/shuntcatalog/catalog.go
+++ b/shuntcatalog/catalog.go
@@ -79,6 +79,7 @@
 // part of it. It ignores a state older than the catalog and returns false.
 func (c *Catalog) Replace(s State, now time.Time) bool {
 	if s.Revision < c.revision {
+		klog.InfoS("Listing ignored: older than what is known", "revision", s.Revision, "known", c.revision, "records", len(s.Records))
 		return false
 	}
 	listed := make(map[string]bool, len(s.Records))
