--- a/shuntcatalog/record.go
+++ b/shuntcatalog/record.go
@@ -12,7 +12,8 @@
 // Record is one entry of the platform's store.
 type Record struct {
 	Key string
-	// Revision is the revision of the entry's last change, or of its removal.
+	// Revision is the revision of the entry's last change, or of its removal. Later
+	// changes have higher revisions.
 	Revision int64
 	Value    []byte
 	// Removed records have no value.
@@ -75,7 +76,8 @@
 // available: the state must be listed again.
 var ErrCompacted = errors.New("the requested changes have been compacted")
 
-// Source reads records from the platform's store.
+// Source reads records from the platform's store. The revisions that it returns never
+// go back, even if those of the store do.
 type Source interface {
 	// List returns all records, including every change made before the call.
 	List(ctx context.Context) (State, error)
