shuntcatalog: a removal does not undo a later return of the same record

What callers saw: a server that had been removed and come back within one set of changes was not in use on VMs that take their changes from others, until its entry changed again.

Cause: a VM sends its records first and then the removals that it remembers, and the receiver applied both in that order, whatever their revisions. Now a removal counts only if the known record is older.

TestRemovedAndBack: no server instead of one before the change.

--- a/shuntcatalog/catalog.go
+++ b/shuntcatalog/catalog.go
@@ -99,13 +99,13 @@
 // Apply applies changes and ignores those that are already known.
 func (c *Catalog) Apply(s State, now time.Time) {
 	for _, r := range s.Records {
-		if r.Revision <= c.revision {
-			continue
-		}
-		if r.Removed {
-			c.remove(r.Key, r.Revision, now)
-		} else {
+		switch known, ok := c.records[r.Key]; {
+		case r.Revision <= c.revision:
+		case !r.Removed:
 			c.put(r, now)
+		case !ok || known.Revision < r.Revision:
+			// Otherwise the record has come back since.
+			c.remove(r.Key, r.Revision, now)
 		}
 	}
 	c.revision = max(c.revision, s.Revision)
--- a/shuntcatalog/restore_test.go
+++ b/shuntcatalog/restore_test.go
@@ -42,6 +42,22 @@
 	}
 }
 
+// TestRemovedAndBack checks that a server that was removed and has come back stays in use,
+// in whichever order another VM tells the two changes.
+func TestRemovedAndBack(t *testing.T) {
+	now := time.Now()
+	from, to := newCatalog(), newCatalog()
+	server := shuntroute.Server{ID: "1", Service: "a"}
+	for _, c := range []*Catalog{from, to} {
+		c.Apply(state(5, record(t, "s1", 5, server)), now)
+	}
+	from.Apply(state(6, Record{Key: "s1", Revision: 6, Removed: true}), now)
+	from.Apply(state(7, record(t, "s1", 7, server)), now)
+	take(to, from, now)
+	to.Expire(now.Add(delistedGrace))
+	soleServer(t, to)
+}
+
 // TestOlderContentNotHandedOn checks that a VM that has ignored older content of later
 // revisions does not hand it to one that knows nothing.
 func TestOlderContentNotHandedOn(t *testing.T) {
