shuntcatalog: a VM that has listed the records hands on the full state

What callers saw: requests to a server that had left, on VMs that take their changes from others, until such a VM listed the records itself.

Cause: VMs hand each other changes since a revision, and removals among them from memory. A VM that has listed the records (at its start, after lost history, in a new era of the store) has no memory of earlier removals, and answered as if there had been none. Now a listing counts as the beginning of what is known, and VMs that are further behind get the full state. Contents that the receiver has are left out, if it asks for that: at 5,900 servers a full state is 1.5 MB by reckoning, and each VM that starts is in this position.

Replies to earlier versions of the program are whole as before (TestFetchState).

--- a/shuntcatalog/catalog.go
+++ b/shuntcatalog/catalog.go
@@ -29,8 +29,8 @@
 	config   Config
 	revision int64
 	records  map[string]Record
-	// removed holds the latest removals. Those up to compactedRevision may have
-	// been discarded.
+	// removed holds the latest removals. Those up to compactedRevision may be missing:
+	// they have been discarded, or were never seen.
 	removed           []Record
 	compactedRevision int64
 	table             *shuntroute.Table
@@ -55,13 +55,16 @@
 func (c *Catalog) Revision() int64 { return c.revision }
 
 // ChangesSince returns the changes after the revision, for other VMs, or the
-// full state if removals after it have been discarded. The caller must not
+// full state if not all removals after it are known. The caller must not
 // change the records' values.
 func (c *Catalog) ChangesSince(revision int64) Delta {
 	d := Delta{State: State{Revision: c.revision}, Full: revision < c.compactedRevision}
 	for _, r := range c.records {
-		if d.Full || r.Revision > revision {
+		switch {
+		case r.Revision > revision:
 			d.Records = append(d.Records, r)
+		case d.Full:
+			d.Unchanged = append(d.Unchanged, r)
 		}
 	}
 	if d.Full {
@@ -77,22 +80,46 @@
 
 // Replace sets the catalog to a full state and removes every record that is not
 // part of it. It ignores a state older than the catalog and returns false.
-func (c *Catalog) Replace(s State, now time.Time) bool {
+func (c *Catalog) Replace(s State, now time.Time) bool { return c.replace(s, nil, now) }
+
+// ApplyDelta applies changes that another VM knows. It returns false if it ignores
+// them: they are older than the catalog, or rely on records that it does not have.
+func (c *Catalog) ApplyDelta(d Delta, now time.Time) bool {
+	if !d.Full {
+		c.Apply(d.State, now)
+		return true
+	}
+	for _, r := range d.Unchanged {
+		if _, ok := c.records[r.Key]; !ok {
+			klog.InfoS("State from another VM ignored: it lacks a record", "key", r.Key, "revision", d.Revision, "known", c.revision)
+			return false
+		}
+	}
+	return c.replace(d.State, d.Unchanged, now)
+}
+
+// replace implements Replace. unchanged are further records of the state that the
+// catalog has.
+func (c *Catalog) replace(s State, unchanged []Record, now time.Time) bool {
 	if s.Revision < c.revision {
 		klog.InfoS("Listing ignored: older than what is known", "revision", s.Revision, "known", c.revision, "records", len(s.Records))
 		return false
 	}
-	listed := make(map[string]bool, len(s.Records))
+	listed := make(map[string]bool, len(s.Records)+len(unchanged))
 	for _, r := range s.Records {
 		listed[r.Key] = true
 		c.put(r, now)
 	}
+	for _, r := range unchanged {
+		listed[r.Key] = true
+	}
 	for key := range c.records {
 		if !listed[key] {
 			c.remove(key, s.Revision, now)
 		}
 	}
-	c.revision = s.Revision
+	// Records that came and went before the state was taken are not known.
+	c.revision, c.compactedRevision, c.removed = s.Revision, s.Revision, nil
 	return true
 }
 
--- a/shuntcatalog/catalog_test.go
+++ b/shuntcatalog/catalog_test.go
@@ -173,12 +173,7 @@
 		for _, s := range changes[:after] {
 			to.Apply(s, now)
 		}
-		d := from.ChangesSince(int64(after))
-		if d.Full {
-			to.Replace(d.State, now)
-		} else {
-			to.Apply(d.State, now)
-		}
+		to.ApplyDelta(from.ChangesSince(int64(after)), now)
 		to.Expire(now.Add(delistedGrace))
 		if soleServer(t, to).ID != "2" || to.View().Table.Version() != 9 || to.Revision() != 5 {
 			t.Errorf("changes since revision %d led to %+v", after, to.View())
--- a/shuntcatalog/follow.go
+++ b/shuntcatalog/follow.go
@@ -236,21 +236,27 @@
 // followPeers fetches changes from other VMs whenever this one has no successful
 // read of the platform.
 func (f *Follower) followPeers(ctx context.Context) {
+	whole := false
 	for ctx.Err() == nil {
 		shuntgroup.Pause(ctx, peerPollInterval)
 		if f.platformReachable.Load() {
 			continue
 		}
 		before := f.revision.Load()
+		if whole {
+			before = 0
+		}
 		d, ok := f.config.Peers.FetchNewer(ctx, before)
 		if !ok {
 			continue
 		}
-		klog.InfoS("Changes taken from another VM", "revision", d.Revision, "before", before, "records", len(d.Records), "whole", d.Full)
-		if d.Full {
-			f.replace(ctx, d.State)
-		} else {
-			f.apply(ctx, d.State)
-		}
+		klog.InfoS("Changes taken from another VM", "revision", d.Revision, "before", before, "records", len(d.Records), "unchanged", len(d.Unchanged), "whole", d.Full)
+		applied := false
+		f.update(ctx, func(c *Catalog) bool {
+			known := c.Revision()
+			applied = c.ApplyDelta(d, time.Now())
+			return c.Revision() > known
+		})
+		whole = !applied && d.Revision > f.revision.Load()
 	}
 }
--- a/shuntcatalog/record.go
+++ b/shuntcatalog/record.go
@@ -53,9 +53,12 @@
 // Delta is the changes after some revision.
 type Delta struct {
 	State
-	// Full means that the state is complete: records that it lacks have been
-	// removed.
+	// Full means that the state is complete: records that neither it nor Unchanged has
+	// have been removed.
 	Full bool
+	// Unchanged are the records of a full state that had the same revision before. Only
+	// their keys are sent to other VMs, which know their contents.
+	Unchanged []Record
 }
 
 // DecodedRecord is the content of a record. Exactly one of the fields is set.
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -426,3 +426,37 @@
 		})
 	}
 }
+
+// TestFetchState checks that a reply to another VM has all records of a full state, and
+// that the contents of unchanged ones are left out only if that VM asks for it: earlier
+// versions of the program do not know such replies.
+func TestFetchState(t *testing.T) {
+	unchanged := shuntcatalog.Record{Key: "u", Revision: 3, Value: []byte("old")}
+	changed := shuntcatalog.Record{Key: "c", Revision: 9, Value: []byte("new")}
+	server := &stateServer{since: func(int64) shuntcatalog.Delta {
+		return shuntcatalog.Delta{State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{changed}}, Full: true, Unchanged: []shuntcatalog.Record{unchanged}}
+	}}
+	cases := map[string]struct {
+		args StateArgs
+		want shuntcatalog.Delta
+	}{
+		"earlier version": {StateArgs{After: 5}, shuntcatalog.Delta{
+			State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{changed, unchanged}}, Full: true,
+		}},
+		"this version": {StateArgs{After: 5, OmitUnchanged: true}, shuntcatalog.Delta{
+			State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{changed}}, Full: true, Unchanged: []shuntcatalog.Record{{Key: "u"}},
+		}},
+		"nothing new": {StateArgs{After: 9, OmitUnchanged: true}, shuntcatalog.Delta{State: shuntcatalog.State{Records: []shuntcatalog.Record{}}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var reply StateReply
+			if err := server.Fetch(c.args, &reply); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := reply.delta(); err != nil || !reflect.DeepEqual(got, c.want) {
+				t.Errorf("got %+v and error %v; want %+v", got, err, c.want)
+			}
+		})
+	}
+}
--- a/shuntmember/state.go
+++ b/shuntmember/state.go
@@ -26,7 +26,12 @@
 )
 
 // StateArgs requests the changes after a revision.
-type StateArgs struct{ After int64 }
+type StateArgs struct {
+	After int64
+	// OmitUnchanged is true if the caller knows the contents of unchanged records.
+	// Earlier versions of the program don't set it.
+	OmitUnchanged bool
+}
 
 // StateReply holds the changes after the requested revision. Revision is 0 if
 // there are none. Whole is true if the reply holds the complete state, so that
@@ -38,6 +43,9 @@
 	Revisions []int64
 	Values    [][]byte
 	Removed   []bool
+	// Unchanged holds the keys of further records of a complete state, whose revisions
+	// are not above the requested one.
+	Unchanged []string
 }
 
 // stateServer serves the published state to other VMs.
@@ -55,7 +63,15 @@
 		return nil
 	}
 	reply.Revision, reply.Whole = d.Revision, d.Full
-	for _, r := range d.Records {
+	records := d.Records
+	if !args.OmitUnchanged {
+		records = slices.Concat(records, d.Unchanged)
+		d.Unchanged = nil
+	}
+	for _, r := range d.Unchanged {
+		reply.Unchanged = append(reply.Unchanged, r.Key)
+	}
+	for _, r := range records {
 		reply.Keys = append(reply.Keys, r.Key)
 		reply.Revisions = append(reply.Revisions, r.Revision)
 		reply.Values = append(reply.Values, r.Value)
@@ -72,6 +88,9 @@
 	for i, key := range r.Keys {
 		d.Records[i] = shuntcatalog.Record{Key: key, Revision: r.Revisions[i], Value: r.Values[i], Removed: r.Removed[i]}
 	}
+	for _, key := range r.Unchanged {
+		d.Unchanged = append(d.Unchanged, shuntcatalog.Record{Key: key})
+	}
 	return d, nil
 }
 
@@ -135,7 +154,7 @@
 	deadline, _ := ctx.Deadline()
 	_ = c.SetDeadline(deadline)
 	var reply StateReply
-	if err := client.Call(stateMethod, StateArgs{after}, &reply); err != nil {
+	if err := client.Call(stateMethod, StateArgs{After: after, OmitUnchanged: true}, &reply); err != nil {
 		return shuntcatalog.Delta{}, errors.Trace(err)
 	}
 	return reply.delta()
