Read the diff once more: one choice of a VM by weight, limits taken in one place

IsResponsibleFor and Divider had the same loop. Refund says what Return did. No change of behaviour.

--- a/shuntbalance/rate_divider.go
+++ b/shuntbalance/rate_divider.go
@@ -33,10 +33,9 @@
 // them, in proportion to their demand: the load on a server is rarely spread evenly
 // over the fleet. VMs that can't claim use fixed shares, which are kept free for them.
 //
-// The rates in force never add up to more than the limit, as long as it does not fall
-// and VMs that lose contact use their shares only. What a VM that does not
-// divide a limit grants, because the VMs disagree on who does, is what the claimant holds
-// already.
+// If the VMs agree on who divides a limit, the rates in force add up to the limit at most.
+// While they disagree, a VM that does not divide it by its own knowledge only lets
+// claimants keep what they hold.
 type RateDivider struct {
 	mu      sync.Mutex
 	servers map[Incarnation]*dividedLimit
@@ -74,7 +73,7 @@
 		delete(s.claimants, vm)
 		return RateGrant{Server: c.Server}
 	}
-	rate := max(c.Held, f.ShareOf(vm)*s.limit)
+	rate := max(c.Held, f.ShareOf(vm)*s.limit) // as without a grant at least
 	if f.Divides(c.Server.ID, c.Region) {
 		rate = s.divide(vm, c.Demand, f, now)
 	}
--- a/shuntbalance/rate_limiter.go
+++ b/shuntbalance/rate_limiter.go
@@ -135,8 +135,8 @@
 	return true
 }
 
-// Return takes back a request that Take has counted and that was not sent.
-func (l *RateLimiter) Return(s shuntroute.Server) {
+// Refund takes back a request that Take has counted and that was not sent.
+func (l *RateLimiter) Refund(s shuntroute.Server) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.servers[IncarnationOf(s)]; r != nil {
--- a/shuntbalance/rate_limiter_test.go
+++ b/shuntbalance/rate_limiter_test.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// TestReturnedRequest checks that a request that was not sent does not count.
-func TestReturnedRequest(t *testing.T) {
+// TestRefundedRequest checks that a request that was not sent does not count.
+func TestRefundedRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := NewRateLimiter(RateLimiterConfig{Share: func() float64 { return 1 }})
 		l.Limit(limitedTestServer, 1)
@@ -93,9 +93,9 @@
 		if !l.Available(limitedTestServer) || !l.Take(limitedTestServer) || l.Take(limitedTestServer) {
 			t.Fatal("want one request allowed after a second")
 		}
-		l.Return(limitedTestServer)
+		l.Refund(limitedTestServer)
 		if !l.Take(limitedTestServer) {
-			t.Error("the request that was returned is not allowed again")
+			t.Error("the request that was refunded is not allowed again")
 		}
 	})
 }
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -245,7 +245,7 @@
 		return
 	}
 	if !r.takeBudget(hedgeReserve) {
-		r.caller.config.RateLimiter.Return(s)
+		r.caller.config.RateLimiter.Refund(s)
 		return
 	}
 	r.launch(whyHedge, s)
@@ -323,7 +323,7 @@
 	s, ok := r.choose(true)
 	if !free && !r.takeBudget(0) {
 		if ok {
-			r.caller.config.RateLimiter.Return(s)
+			r.caller.config.RateLimiter.Refund(s)
 		}
 		return false
 	}
@@ -388,39 +388,33 @@
 			cold = append(cold, s)
 		}
 	}
-	if s, ok := r.chooseWithin(warm, reachable, r.withinRateLimit); ok {
+	if s, ok := r.chooseAllowed(warm, false, reachable); ok {
 		return s, true
 	}
-	return r.chooseWithin(cold, reachable, func(s shuntroute.Server) bool {
-		if !r.withinRateLimit(s) {
-			return false
-		}
-		if !c.ColdLimiter.Allow(shuntbalance.IncarnationOf(s), c.ColdRate(r.call.Service)) {
-			c.RateLimiter.Return(s)
-			return false
-		}
-		return true
-	})
+	return r.chooseAllowed(cold, true, reachable)
 }
 
-// chooseWithin returns the best remaining server for which take reports that its limits
-// allow the request.
-func (r *call) chooseWithin(servers []shuntroute.Server, reachable bool, take func(shuntroute.Server) bool) (shuntroute.Server, bool) {
+// chooseAllowed returns the best remaining server whose limits allow the request.
+func (r *call) chooseAllowed(servers []shuntroute.Server, cold, reachable bool) (shuntroute.Server, bool) {
 	exclude := r.tried
 	for {
 		s, ok := r.caller.config.Balancer.Choose(servers, shuntbalance.ChooseOptions{Exclude: exclude, Reachable: reachable})
-		if !ok || take(s) {
+		if !ok || r.take(s, cold) {
 			return s, ok
 		}
 		exclude = append(slices.Clone(exclude), shuntbalance.IncarnationOf(s))
 	}
 }
 
-// withinRateLimit reports whether the server's rate limit allows the request, and if
-// so counts it.
-func (r *call) withinRateLimit(s shuntroute.Server) bool {
-	if !r.caller.config.RateLimiter.Take(s) {
-		r.caller.config.Metrics.HeldBack.Inc()
+// take reports whether the server's limits allow the request, and if so counts it.
+func (r *call) take(s shuntroute.Server, cold bool) bool {
+	c := r.caller.config
+	if !c.RateLimiter.Take(s) {
+		c.Metrics.HeldBack.Inc()
+		return false
+	}
+	if cold && !c.ColdLimiter.Allow(shuntbalance.IncarnationOf(s), c.ColdRate(r.call.Service)) {
+		c.RateLimiter.Refund(s)
 		return false
 	}
 	return true
@@ -435,7 +429,7 @@
 		MaxWait: time.Duration(connWaitFraction * float64(in.Route.LatencyGoal))}
 	o := c.config.Pool.Do(ctx, to, in.Route.Idempotent, in.Request)
 	if o.Status == shuntupstream.NotSent || o.Status == shuntupstream.NoRoom {
-		c.config.RateLimiter.Return(s)
+		c.config.RateLimiter.Refund(s)
 	}
 	c.config.Balancer.End(s, a, balancerResult(o))
 	c.detectCrash(in, s, o)
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"net/netip"
 	"slices"
@@ -340,14 +341,7 @@
 // among all VMs: one of the region's entries, since they send most of what the server
 // gets, or of all entries if the region has none.
 func (s *Snapshot) Divider(server, region string) netip.AddrPort {
-	var best netip.AddrPort
-	var maxWeight uint64
-	for _, a := range s.Entries(region) {
-		if w := weight(a, server); w >= maxWeight {
-			best, maxWeight = a, w
-		}
-	}
-	return best
+	return heaviest(slices.Values(s.Entries(region)), server)
 }
 
 // Divides reports whether this VM divides the limit of a backend server, and has
@@ -364,17 +358,20 @@
 // responsible for the object with that name. All VMs that know the same entries
 // agree on it.
 func (s *Snapshot) IsResponsibleFor(name string) bool {
-	if len(s.entries) == 0 {
-		return true
-	}
+	return len(s.entries) == 0 || heaviest(maps.Keys(s.entries), name) == s.self
+}
+
+// heaviest returns the VM with the greatest weight for the name, by which VMs that know
+// the same ones agree on one of them. It returns the zero value if there are none.
+func heaviest(vms iter.Seq[netip.AddrPort], name string) netip.AddrPort {
 	var best netip.AddrPort
 	var maxWeight uint64
-	for a := range s.entries {
+	for a := range vms {
 		if w := weight(a, name); w >= maxWeight {
 			best, maxWeight = a, w
 		}
 	}
-	return best == s.self
+	return best
 }
 
 func weight(a netip.AddrPort, name string) uint64 { return xxhash.Sum64String(name + " " + a.String()) }
