--- a/shuntbalance/rate_limiter.go
+++ b/shuntbalance/rate_limiter.go
@@ -25,6 +25,8 @@
 	// minServerRate, in requests per second, replaces lower limits: only the replies of
 	// a server tell when its limit ends.
 	minServerRate = 0.2
+	// maxServerRate, in requests per second, replaces higher limits, which bind no VM.
+	maxServerRate = 1e6
 )
 
 // RateClaim is what a VM claims of the limit that a server names.
@@ -102,7 +104,7 @@
 		l.servers[IncarnationOf(s)] = r
 	}
 	r.namedAt = now
-	if limit := max(minServerRate, perSecond); limit != r.limit {
+	if limit := min(max(minServerRate, perSecond), maxServerRate); limit != r.limit {
 		klog.InfoS("Backend server limits its rate", "server", s.ID, "service", s.Service, "perSecond", perSecond, "before", r.limit)
 		r.limit = limit
 	}
--- a/shuntmember/codec.go
+++ b/shuntmember/codec.go
@@ -81,6 +81,11 @@
 	return v
 }
 
+// milliseconds returns a duration of up to forgetAfter: nothing older is of use.
+func (r *reader) milliseconds() time.Duration {
+	return time.Duration(min(r.uvarint(), uint64(forgetAfter.Milliseconds()))) * time.Millisecond
+}
+
 func (r *reader) text() string { return string(r.bytes(int(r.bytes(1)[0]))) }
 
 // decodeDatagram returns the suspicions and reports of a datagram.
@@ -104,7 +109,7 @@
 	s := shuntguard.Suspicion{
 		Fingerprint: binary.BigEndian.Uint64(r.bytes(8)),
 		Strikes:     int(r.uvarint()),
-		Age:         time.Duration(r.uvarint()) * time.Millisecond,
+		Age:         r.milliseconds(),
 	}
 	for n := r.uvarint(); n > 0 && r.err == nil; n-- {
 		s.Servers = append(s.Servers, r.text())
--- /dev/null
+++ b/shuntmember/fuzz_test.go
@@ -0,0 +1,57 @@
+package shuntmember
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+)
+
+// FuzzDatagram checks that what a datagram decodes to is the same after it was encoded and
+// decoded again.
+func FuzzDatagram(f *testing.F) {
+	f.Add(encodeDatagram([]shuntguard.Suspicion{{Fingerprint: 7, Servers: []string{"i-1"}, Strikes: 2, Age: 3 * time.Second}}, newReports(3, equalCapacity)))
+	f.Add(encodeDatagram(nil, nil))
+	f.Add([]byte{datagramVersion, 1, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		suspicions, reports, err := decodeDatagram(b)
+		if err != nil {
+			return
+		}
+		again := encodeDatagram(suspicions, reports)
+		suspicions, reports, err = decodeDatagram(again)
+		if err != nil || !bytes.Equal(encodeDatagram(suspicions, reports), again) {
+			t.Errorf("%x is not the same again: %v", again, err)
+		}
+	})
+}
+
+// FuzzLimits checks the same of claims and grants, and that claims never make a VM grant
+// more than the limit that they state.
+func FuzzLimits(f *testing.F) {
+	server := shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}
+	f.Add(encodeEach(claimsVersion, []shuntbalance.RateClaim{{Server: server, Region: "a", Limit: 23.8, Age: time.Second, Demand: 4, Held: 2}}, appendClaim)[0][1:])
+	f.Add(encodeEach(grantsVersion, []shuntbalance.RateGrant{{Server: server, Rate: 7.25}}, appendGrant)[0][1:])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		claims, grants := &reader{rest: b}, &reader{rest: b}
+		roundTrip(t, readAll(claims, (*reader).claim), claims.err, appendClaim, (*reader).claim)
+		roundTrip(t, readAll(grants, (*reader).grant), grants.err, appendGrant, (*reader).grant)
+	})
+}
+
+// roundTrip checks that values are the same after they were encoded and decoded.
+func roundTrip[T any](t *testing.T, values []T, err error, encode func([]byte, T) []byte, decode func(*reader) T) {
+	t.Helper()
+	if err != nil {
+		return
+	}
+	for _, v := range values {
+		b := encode(nil, v)
+		r := &reader{rest: b}
+		if again := encode(nil, decode(r)); r.err != nil || !bytes.Equal(again, b) {
+			t.Errorf("%+v: %x is %x again: %v", v, b, again, r.err)
+		}
+	}
+}
--- a/shuntmember/limits.go
+++ b/shuntmember/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -145,14 +146,18 @@
 	return out
 }
 
-// rateUnit is the unit in which rates are sent, in requests per second.
-const rateUnit = 0.001
+const (
+	// rateUnit is the unit in which rates are sent, in requests per second.
+	rateUnit = 0.001
+	// maxRateUnits bounds them to what a float64 has exactly.
+	maxRateUnits = 1 << 50
+)
 
 func appendRate(b []byte, perSecond float64) []byte {
-	return binary.AppendUvarint(b, uint64(perSecond/rateUnit))
+	return binary.AppendUvarint(b, uint64(math.Round(perSecond/rateUnit)))
 }
 
-func (r *reader) rate() float64 { return float64(r.uvarint()) * rateUnit }
+func (r *reader) rate() float64 { return float64(min(r.uvarint(), maxRateUnits)) * rateUnit }
 
 func appendServer(b []byte, s shuntbalance.Incarnation) []byte {
 	return binary.AppendUvarint(appendString(b, s.ID), uint64(s.StartMillis))
@@ -170,7 +175,7 @@
 
 func (r *reader) claim() shuntbalance.RateClaim {
 	return shuntbalance.RateClaim{
-		Server: r.server(), Region: r.text(), Limit: r.rate(), Age: time.Duration(r.uvarint()) * time.Millisecond,
+		Server: r.server(), Region: r.text(), Limit: r.rate(), Age: r.milliseconds(),
 		Demand: r.rate(), Held: r.rate(),
 	}
 }
