--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -230,6 +230,7 @@
 	}
 	delete(g.harmless, fingerprint)
 	delete(g.olderHarmless, fingerprint)
+	klog.InfoS("Request suspected of crashing a backend server", "fingerprint", fingerprint, "server", server, "asSuspect", suspect, "suspects", len(g.suspects))
 	if suspect {
 		s.strikes = min(s.strikes+1, maxStrikes)
 		g.quarantines.Inc()
@@ -346,6 +347,9 @@
 			s.servers = append(s.servers, v)
 		}
 	}
+	if len(s.servers) == len(e.Servers) || e.Strikes > s.strikes {
+		klog.InfoS("Request suspected by another VM", "fingerprint", e.Fingerprint, "servers", e.Servers, "strikes", e.Strikes, "age", e.Age.Milliseconds())
+	}
 	s.strikes = max(s.strikes, e.Strikes)
 	if last.After(s.crashedAt) {
 		s.crashedAt = last
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,8 @@
 	Seeds   func() []netip.AddrPort
 	Group   *shuntgroup.Group
 	Metrics *metrics.Set
+	// Dial opens connections to backend servers. If nil, TCP is used.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Router forwards callers' requests to backend servers.
@@ -105,7 +108,7 @@
 	r := &Router{
 		config:           c,
 		random:           shuntrandom.New(0),
-		pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
+		pool:             shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Dial: c.Dial, Group: c.Group, MaxReplyMemory: replyMemory}),
 		balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
 		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
 		delegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
