shuntguard: a server has crashed if it can't be reached while another one can

A VM that lost its own links took every broken connection and failed probe for a crash, and made suspects of all that was in flight (TestNoCrash: this VM has lost its links, links are lost for a short time). An answer that was already on its way, or read late, discarded the runs of a server that had just crashed (TestCrashBesideAnswer), and a server that crashed without closing its connections was not noticed at all (TestCrashingRequest, servers fall silent: one crash for each send). A connection that this VM itself gave up counted against the server.

A check now follows a lost response: the server can't be reached, another one that was contacted after that is, and the server still can't be reached. Only answers to what was begun after the loss clear it. A run counts against a suspect only if it was a trial, not if the server crashed under a run that had begun before.

TestCrashingRequest drove the detector by hand; it now crashes servers and is as strict (3), with silent servers and requests that must not run twice besides.

--- a/shuntbalance/balancer.go
+++ b/shuntbalance/balancer.go
@@ -65,6 +65,8 @@
 	latency    time.Duration
 	failures   float64
 	lastUpdate time.Time
+	// answeredAt is when the server last answered.
+	answeredAt time.Time
 	// unreachableAt is when the last connection failed, and unreachableUntil when the
 	// server is tried again.
 	unreachableAt    time.Time
@@ -152,6 +154,7 @@
 	switch result {
 	case Success:
 		r.addSample(took, 0)
+		r.answeredAt = now
 		r.connectBackoff = 0
 		r.unreachableAt, r.unreachableUntil = time.Time{}, time.Time{}
 	case Failed:
@@ -292,6 +295,13 @@
 	return time.Now().Before(b.stats(s).unreachableUntil)
 }
 
+// AnsweredSince reports whether s has answered any request since then.
+func (b *Balancer) AnsweredSince(s shuntroute.Server, since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats(s).answeredAt.After(since)
+}
+
 // Down reports whether a connection to s failed a moment ago, so that another one
 // would fail as well.
 func (b *Balancer) Down(s shuntroute.Server) bool {
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -95,6 +95,7 @@
 	attempts     atomic.Uint64
 	networkTimes networkTimes
 	health       delegateHealth
+	links        links
 }
 
 // New returns a Caller.
@@ -103,8 +104,12 @@
 // Attempts returns the number of attempts made so far.
 func (c *Caller) Attempts() uint64 { return c.attempts.Load() }
 
-// Prune discards what is known of VMs that are no longer used as delegates.
-func (c *Caller) Prune(now time.Time) { c.health.prune(now) }
+// Prune discards what is known of VMs that are no longer used as delegates, and of requests
+// that were lost some time ago.
+func (c *Caller) Prune(now time.Time) {
+	c.health.prune(now)
+	c.config.CrashDetector.Prune(now)
+}
 
 // Call is one request to one service.
 type Call struct {
@@ -431,8 +436,8 @@
 	if o.Status == shuntupstream.NotSent || o.Status == shuntupstream.NoRoom {
 		c.config.RateLimiter.Refund(s)
 	}
-	c.config.Balancer.End(s, a, balancerResult(o))
-	c.detectCrash(in, s, o)
+	c.config.Balancer.End(s, a, balancerResult(ctx, o))
+	c.detectCrash(ctx, in, s, o, started)
 	c.observeLimit(s, o)
 	c.config.Metrics.attempt(o, time.Since(started))
 	return attemptResult{server: s, outcome: o, started: started}
@@ -455,7 +460,9 @@
 	}
 }
 
-func balancerResult(o shuntupstream.Outcome) shuntbalance.Result {
+// balancerResult returns what the outcome of an exchange says about the server. ctx is
+// that of the exchange.
+func balancerResult(ctx context.Context, o shuntupstream.Outcome) shuntbalance.Result {
 	switch o.Status {
 	case shuntupstream.Answered:
 		if o.Reply.Code >= 500 {
@@ -467,6 +474,10 @@
 	case shuntupstream.Misdirected:
 		return shuntbalance.AddressReused
 	case shuntupstream.NotSent:
+		if ctx.Err() != nil {
+			// This VM stopped waiting for the connection.
+			return shuntbalance.Abandoned
+		}
 		return shuntbalance.Unreachable
 	case shuntupstream.Cancelled:
 		return shuntbalance.Abandoned
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -49,6 +49,8 @@
 	// maxShards is the maximum number of shards for which a VM answers; 0 if this is
 	// not a VM.
 	maxShards int
+	// crashesSilently servers that crash leave their connections open.
+	crashesSilently bool
 }
 
 // testCluster is a set of fake servers in virtual time. Each service has servers by
@@ -63,10 +65,15 @@
 	arrivals map[string]int
 	// arrivalTimes holds when requests reached each server.
 	arrivalTimes map[string][]time.Time
-	group        shuntgroup.Group
-	caller       *Caller
-	view         *shuntroute.View
-	table        *shuntroute.Table
+	// crashes counts the crashes of servers, and downUntil holds when they are back.
+	crashes   int
+	downUntil map[string]time.Time
+	// cut is true while this VM has lost its links to all servers.
+	cut    bool
+	group  shuntgroup.Group
+	caller *Caller
+	view   *shuntroute.View
+	table  *shuntroute.Table
 }
 
 func (w *testCluster) Share() float64               { return w.share }
@@ -76,7 +83,7 @@
 // run creates a caller for the services and runs f in virtual time.
 func run(t *testing.T, services map[string]map[string]behavior, f func(t *testing.T, w *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &testCluster{behaviors: map[string]behavior{}, arrivals: map[string]int{}, arrivalTimes: map[string][]time.Time{}, share: 1}
+		w := &testCluster{behaviors: map[string]behavior{}, arrivals: map[string]int{}, arrivalTimes: map[string][]time.Time{}, downUntil: map[string]time.Time{}, share: 1}
 		var servers []shuntroute.Server
 		config := shuntroute.TableConfig{Version: 1}
 		for service, byName := range services {
@@ -128,12 +135,13 @@
 
 func (w *testCluster) dial(ctx context.Context, address string) (net.Conn, error) {
 	b := w.behaviors[address]
+	down, cut := w.down(address)
 	switch {
 	case b.panics:
 		panic("broken")
-	case b.unreachable:
+	case b.unreachable, cut, down && !b.crashesSilently:
 		return nil, errors.New("refused")
-	case b.connectHangs:
+	case b.connectHangs, down:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -146,6 +154,36 @@
 	return ours, nil
 }
 
+// crashTime is how long a server that has crashed is down, and crashTarget the target of
+// requests that crash servers.
+const (
+	crashTime   = 2 * time.Second
+	crashTarget = "/crash"
+)
+
+// down reports whether the server has crashed and is not back, and whether this VM has
+// lost its links.
+func (w *testCluster) down(address string) (down, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.downUntil[address]), w.cut
+}
+
+// setCut cuts or mends this VM's links to all servers.
+func (w *testCluster) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// crash crashes a server that begins to run a request.
+func (w *testCluster) crash(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes++
+	w.downUntil[address] = time.Now().Add(crashTime)
+}
+
 func (w *testCluster) serve(c net.Conn, address string) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
@@ -170,7 +208,17 @@
 
 func (w *testCluster) answer(c net.Conn, req *http.Request, address string, n int) bool {
 	b := w.behaviors[address]
-	if b.responseHangs {
+	if down, cut := w.down(address); cut || (down && !b.crashesSilently) {
+		return false
+	} else if req.URL.Path == crashTarget && !down {
+		w.crash(address)
+		if !b.crashesSilently {
+			return false
+		}
+	} else if down {
+		b.responseHangs = true
+	}
+	if b.responseHangs || b.crashesSilently && req.URL.Path == crashTarget {
 		time.Sleep(40 * time.Second)
 		return false
 	}
@@ -179,7 +227,7 @@
 		return err == nil
 	}
 	time.Sleep(b.after)
-	if b.broken {
+	if _, cut := w.down(address); cut || b.broken {
 		return false
 	}
 	code, signature := b.code, b.signature
@@ -378,38 +426,6 @@
 	})
 }
 
-// TestCrashingRequest checks that a request that crashes servers is refused after a
-// few crashes, even if its caller keeps sending it, and that other requests are not.
-func TestCrashingRequest(t *testing.T) {
-	run(t, map[string]map[string]behavior{"s": {"a": {after: fast}}}, func(t *testing.T, w *testCluster) {
-		const bad, good = 7, 8
-		died := 0
-		for range 10 {
-			a, release := w.caller.Admit(bad)
-			if a.Refused == "" {
-				server := fmt.Sprintf("i-%d", died)
-				w.caller.config.CrashDetector.ConnectionLost(server, bad)
-				w.caller.recordCrash(server)
-				died++
-			}
-			release()
-			time.Sleep(time.Second)
-		}
-		if died > 3 {
-			t.Errorf("%d servers crashed; want at most 3", died)
-		}
-		if a, _ := w.caller.Admit(good); a.Refused != "" || a.Suspect {
-			t.Errorf("unrelated request: got %+v; want it admitted and not suspect", a)
-		}
-		w.caller.config.CrashDetector.ConnectionLost("i-a", good)
-		w.caller.config.CrashDetector.Reachable("i-a")
-		w.caller.recordCrash("i-a")
-		if a, _ := w.caller.Admit(good); a.Suspect {
-			t.Error("a lost response of a reachable server counts as a crash")
-		}
-	})
-}
-
 // TestMergeTopRecords checks how the parts of an answer are merged.
 func TestMergeTopRecords(t *testing.T) {
 	record := func(s string) []byte { return fmt.Appendf(nil, "%-16s", s) }
--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
@@ -52,36 +54,69 @@
 	return Admission{}, func() {}
 }
 
-// detectCrash updates the crash detector with the outcome of an attempt. If the
-// connection broke, the server is probed at once: it counts as crashed only if it
-// cannot be reached.
-func (c *Caller) detectCrash(in Call, s shuntroute.Server, o shuntupstream.Outcome) {
+// silentAfter is how long a server that answers nothing may take for a request until it
+// counts as possibly crashed when the request is given up.
+const silentAfter = 250 * time.Millisecond
+
+// detectCrash updates the crash detector with the outcome of an attempt that was begun at
+// the given time. If the server may have crashed, that is found out.
+func (c *Caller) detectCrash(ctx context.Context, in Call, s shuntroute.Server, o shuntupstream.Outcome, begun time.Time) {
+	run := shuntguard.Run{Fingerprint: in.Fingerprint, Trial: in.SingleServer}
 	switch o.Status {
 	case shuntupstream.Answered, shuntupstream.Declined:
-		c.config.CrashDetector.Reachable(s.ID)
-	case shuntupstream.NotSent:
-		c.recordCrash(s.ID)
+		c.reached(s, begun)
+	case shuntupstream.Misdirected:
+		// Another process has the address, so the server has ended.
+		if c.config.CrashDetector.BeginCheck(s.ID) {
+			c.endCheck(s, true)
+		}
 	case shuntupstream.Broken:
-		if c.config.CrashDetector.ConnectionLost(s.ID, in.Fingerprint) {
-			c.config.Group.Go(func() { c.probe(s) })
+		c.config.CrashDetector.Lost(s.ID, run)
+		c.checkCrash(s)
+	case shuntupstream.Cancelled:
+		c.config.CrashDetector.Lost(s.ID, run)
+		if time.Since(begun) >= silentAfter && !c.config.Balancer.AnsweredSince(s, begun) {
+			c.checkCrash(s)
+		}
+	case shuntupstream.NotSent:
+		if ctx.Err() == nil {
+			c.checkCrash(s)
 		}
 	}
 }
 
-func (c *Caller) probe(s shuntroute.Server) {
-	err := c.config.Pool.Connect(context.Background(), shuntupstream.Server{ID: s.ID, Address: s.Address})
-	if err == nil {
-		c.config.CrashDetector.Reachable(s.ID)
+// checkCrash finds out whether a server that has lost requests has crashed: it can't be
+// reached, while other servers can, both before and after.
+func (c *Caller) checkCrash(s shuntroute.Server) {
+	if !c.config.CrashDetector.BeginCheck(s.ID) {
 		return
 	}
-	klog.InfoS("Backend server not reached after a broken connection", "server", s.ID, "service", s.Service, "reason", err.Error())
-	c.recordCrash(s.ID)
+	if !c.config.Group.Go(func() { c.endCheck(s, c.hasCrashed(context.Background(), s)) }) {
+		c.endCheck(s, false)
+	}
+}
+
+func (c *Caller) hasCrashed(ctx context.Context, s shuntroute.Server) bool {
+	begun := time.Now()
+	err := c.connect(ctx, s)
+	if err == nil {
+		return false
+	}
+	if !c.provesLinks(ctx, s, begun) {
+		klog.InfoS("Neither a backend server that lost requests nor another one reached", "server", s.ID, "service", s.Service, "reason", err.Error())
+		return false
+	}
+	// This VM's links may have been lost when the first connection failed.
+	if err = c.connect(ctx, s); err != nil {
+		klog.InfoS("Backend server that lost requests not reached", "server", s.ID, "service", s.Service, "reason", err.Error())
+	}
+	return err != nil
 }
 
-func (c *Caller) recordCrash(server string) {
-	for _, f := range c.config.CrashDetector.Unreachable(server) {
-		suspect := c.config.Guard.IsSuspect(f)
-		c.config.Guard.RecordCrash(f, server, suspect)
+// endCheck ends the check of a server and records its crash, if it has crashed.
+func (c *Caller) endCheck(s shuntroute.Server, crashed bool) {
+	for _, r := range c.config.CrashDetector.EndCheck(s.ID, crashed) {
+		c.config.Guard.RecordCrash(r.Fingerprint, s.ID, r.Trial)
 	}
 }
 
--- a/shuntcall/guard_test.go
+++ b/shuntcall/guard_test.go
@@ -1,8 +1,11 @@
 package shuntcall
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
 
@@ -32,3 +35,113 @@
 		})
 	}
 }
+
+// sendGuarded sends a request to the service s, if the guard admits it, and returns what the guard
+// decided and how the request ended.
+func (w *testCluster) sendGuarded(target string, fingerprint uint64, idempotent bool) (Admission, CallStatus) {
+	start := time.Now()
+	a, release := w.caller.Admit(fingerprint)
+	defer release()
+	if a.Refused != "" {
+		return a, Refused
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	r := w.request(start)
+	r.Target = target
+	service, _ := w.table.Service("s")
+	route := &shuntroute.Route{Idempotent: idempotent, LatencyGoal: goal, MaxAttempts: 2}
+	res := w.caller.Forward(ctx, route, service, r, fingerprint, a.Suspect)
+	if a.Suspect && res.Status == Served {
+		w.caller.RecordSuccess(fingerprint)
+	}
+	return a, res.Status
+}
+
+// TestCrashingRequest checks that a request that crashes servers is refused after a few
+// crashes, even if its caller keeps sending it, and that other requests are not.
+func TestCrashingRequest(t *testing.T) {
+	const bad, good = 7, 8
+	cases := map[string]struct {
+		server     behavior
+		idempotent bool
+		most       int
+	}{
+		"servers close connections":       {behavior{after: fast}, true, 3},
+		"servers fall silent":             {behavior{after: fast, crashesSilently: true}, true, 3},
+		"once, servers close connections": {behavior{after: fast}, false, 2},
+		"once, servers fall silent":       {behavior{after: fast, crashesSilently: true}, false, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			servers := map[string]behavior{}
+			for _, s := range []string{"a", "b", "c", "d", "e", "f"} {
+				servers[s] = c.server
+			}
+			run(t, map[string]map[string]behavior{"s": servers}, func(t *testing.T, w *testCluster) {
+				for range 10 {
+					w.sendGuarded(crashTarget, bad, c.idempotent)
+					time.Sleep(time.Second)
+					if a, status := w.sendGuarded("/", good, true); a.Refused != "" || status != Served {
+						t.Errorf("unrelated request: got %+v, %v; want it served", a, status)
+					}
+				}
+				if w.crashes > c.most {
+					t.Errorf("%d servers crashed; want at most %d", w.crashes, c.most)
+				}
+			})
+		})
+	}
+}
+
+// TestNoCrash checks which losses of responses don't make a request a suspect.
+func TestNoCrash(t *testing.T) {
+	const fingerprint = 7
+	slow := behavior{after: 2 * goal}
+	cases := map[string]struct {
+		servers map[string]behavior
+		// lose makes the response to a request that is being sent get lost.
+		lose func(w *testCluster)
+	}{
+		"a server closes one connection":  {map[string]behavior{"a": {broken: true, after: fast}, "b": {broken: true, after: fast}}, func(*testCluster) {}},
+		"a server is slow":                {map[string]behavior{"a": {after: 2 * deadline}, "b": {after: 2 * deadline}}, func(*testCluster) {}},
+		"this VM has lost its links":      {map[string]behavior{"a": slow, "b": slow, "c": slow}, func(w *testCluster) { w.setCut(true) }},
+		"links are lost for a short time": {map[string]behavior{"a": slow, "b": slow, "c": slow}, func(w *testCluster) { w.setCut(true); time.Sleep(2 * goal); w.setCut(false) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, map[string]map[string]behavior{"s": c.servers}, func(t *testing.T, w *testCluster) {
+				w.group.Go(func() { w.sendGuarded("/", fingerprint, true) })
+				time.Sleep(fast)
+				c.lose(w)
+				time.Sleep(2 * time.Second)
+				w.setCut(false)
+				time.Sleep(time.Second)
+				if a, release := w.caller.Admit(fingerprint); a.Suspect || a.Refused != "" {
+					release()
+					t.Errorf("got %+v; want it not suspected", a)
+				}
+			})
+		})
+	}
+}
+
+// TestCrashBesideAnswer checks that an answer that was on its way when its server crashed
+// does not clear the other requests that the server was running.
+func TestCrashBesideAnswer(t *testing.T) {
+	run(t, map[string]map[string]behavior{"s": {"a": {after: fast}, "b": {after: fast}}}, func(t *testing.T, w *testCluster) {
+		s := w.view.Servers("s")[0]
+		begun := time.Now()
+		time.Sleep(fast)
+		in := Call{Fingerprint: 7}
+		w.crash(s.Address)
+		w.caller.detectCrash(t.Context(), in, s, shuntupstream.Outcome{Status: shuntupstream.Broken}, begun)
+		w.caller.detectCrash(t.Context(), Call{Fingerprint: 8}, s, shuntupstream.Outcome{Status: shuntupstream.Answered}, begun)
+		time.Sleep(time.Second)
+		if a, release := w.caller.Admit(7); !a.Suspect {
+			t.Errorf("got %+v; want a suspect", a)
+		} else {
+			release()
+		}
+	})
+}
--- a/shuntguard/crashdetector.go
+++ b/shuntguard/crashdetector.go
@@ -1,76 +1,132 @@
 package shuntguard
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// crashWindow is the maximum time between the loss of a connection and the
-	// failure to reach the server for which the loss counts as a crash.
-	crashWindow = 2 * time.Second
-	// maxBrokenRuns limits the number of runs recorded for one server.
-	maxBrokenRuns = 64
+	// crashWindow is the maximum time between the loss of a request and the finding that
+	// its server has crashed for which the loss counts.
+	crashWindow = 3 * time.Second
+	// maxLostRuns limits the number of runs recorded for one server.
+	maxLostRuns = 64
 )
 
-// CrashDetector determines which requests were in flight on a server when it
-// crashed. The loss of a connection alone does not prove a crash, because
-// servers and networks also lose single replies. It counts as a crash if the
-// server cannot be reached afterwards.
+// Run is the execution of a request by a backend server.
+type Run struct {
+	Fingerprint uint64
+	// Trial is true if the request ran as a suspect.
+	Trial bool
+}
+
+// CrashDetector records which requests were in flight on a server when it may have
+// crashed. The loss of a response alone proves nothing, because servers and networks
+// also lose single ones.
 type CrashDetector struct {
-	mu         sync.Mutex
-	brokenRuns map[string][]brokenRun
+	mu      sync.Mutex
+	servers map[string]*lostRuns
+}
+
+// lostRuns holds the runs lost on one server, oldest first.
+type lostRuns struct {
+	runs []lostRun
+	// checking is true while it is being found out whether the server has crashed.
+	checking bool
 }
 
-// brokenRun is a run of a request that ended with the loss of its connection.
-type brokenRun struct {
-	fingerprint uint64
-	at          time.Time
+// lostRun is a run that ended without a response.
+type lostRun struct {
+	Run
+	at time.Time
 }
 
 // NewCrashDetector returns a CrashDetector without recorded runs.
-func NewCrashDetector() *CrashDetector { return &CrashDetector{brokenRuns: map[string][]brokenRun{}} }
+func NewCrashDetector() *CrashDetector { return &CrashDetector{servers: map[string]*lostRuns{}} }
 
-// ConnectionLost records that the connection to the server was lost while the
-// request was in flight on it. It reports whether this is the first loss since
-// the server was last reached, not counting losses older than crashWindow. If it
-// is, the caller must check whether the server can be reached.
-func (d *CrashDetector) ConnectionLost(server string, fingerprint uint64) bool {
+// Lost records that a run has ended without a response from the server.
+func (d *CrashDetector) Lost(server string, r Run) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	runs := d.brokenRuns[server]
-	for len(runs) > 0 && now.Sub(runs[0].at) > crashWindow {
-		runs = runs[1:]
+	s := d.servers[server]
+	if s == nil {
+		s = &lostRuns{}
+		d.servers[server] = s
 	}
-	first := len(runs) == 0
-	if len(runs) < maxBrokenRuns {
-		runs = append(runs, brokenRun{fingerprint, now})
+	s.expire(now)
+	if len(s.runs) < maxLostRuns {
+		s.runs = append(s.runs, lostRun{r, now})
 	}
-	d.brokenRuns[server] = runs
-	return first
 }
 
-// Reachable records that the server was reached, and discards the runs recorded
-// for it.
-func (d *CrashDetector) Reachable(server string) {
+// expire removes the runs that were lost longer than crashWindow ago.
+func (s *lostRuns) expire(now time.Time) {
+	s.runs = slices.DeleteFunc(s.runs, func(r lostRun) bool { return now.Sub(r.at) > crashWindow })
+}
+
+// BeginCheck reports whether the caller should find out whether the server has crashed,
+// because it has lost runs and nobody else does. The caller must call EndCheck afterwards.
+func (d *CrashDetector) BeginCheck(server string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.brokenRuns, server)
+	s := d.servers[server]
+	if s == nil || s.checking {
+		return false
+	}
+	s.checking = true
+	return true
 }
 
-// Unreachable records that the server cannot be reached. It returns the
-// fingerprints of the requests that were in flight when the server crashed.
-func (d *CrashDetector) Unreachable(server string) []uint64 {
+// EndCheck ends a check that began with BeginCheck. If the server has crashed, it returns
+// the runs that were in flight then.
+func (d *CrashDetector) EndCheck(server string, crashed bool) []Run {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []uint64
-	for _, r := range d.brokenRuns[server] {
-		if now.Sub(r.at) <= crashWindow {
-			out = append(out, r.fingerprint)
+	s := d.servers[server]
+	if s == nil {
+		return nil
+	}
+	s.checking = false
+	s.expire(now)
+	var out []Run
+	if crashed {
+		for _, r := range s.runs {
+			out = append(out, r.Run)
 		}
+		s.runs = nil
 	}
-	delete(d.brokenRuns, server)
+	d.removeIfEmpty(server, s)
 	return out
 }
+
+// Reached records that the server answered a request, or accepted a connection, that was
+// begun at the given time. The runs that it lost before then were not lost by a crash.
+func (d *CrashDetector) Reached(server string, begun time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[server]
+	if s == nil {
+		return
+	}
+	s.runs = slices.DeleteFunc(s.runs, func(r lostRun) bool { return r.at.Before(begun) })
+	d.removeIfEmpty(server, s)
+}
+
+func (d *CrashDetector) removeIfEmpty(server string, s *lostRuns) {
+	if len(s.runs) == 0 && !s.checking {
+		delete(d.servers, server)
+	}
+}
+
+// Prune removes the servers whose lost runs are too old to count.
+func (d *CrashDetector) Prune(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, s := range d.servers {
+		s.expire(now)
+		d.removeIfEmpty(id, s)
+	}
+}
