shuntmember: suspicions spread at once, those seen more than once first

A quarantine did not reach other VMs while they took harmless requests for suspects: heartbeats carried the six suspects with the latest crash, a full table dropped the one with the oldest, and nothing was sent before the next heartbeat.

Suspicions now have datagrams of their own, sent 100 ms after a VM has seen or heard something new, to four random VMs and, what it has seen itself, to the VM in charge of the request. Requests that crashed servers on two occasions, or under a trial, have most of the places before others, in messages and in the table; within each kind those that were sent least often come first. A VM that starts gets them in the answer to its greeting.

--- a/shuntguard/crashdetector.go
+++ b/shuntguard/crashdetector.go
@@ -27,6 +27,8 @@
 type CrashDetector struct {
 	mu      sync.Mutex
 	servers map[string]*lostRuns
+	// trials holds the servers on which a suspect runs.
+	trials map[string]bool
 }
 
 // lostRuns holds the runs lost on one server, oldest first.
@@ -43,7 +45,29 @@
 }
 
 // NewCrashDetector returns a CrashDetector without recorded runs.
-func NewCrashDetector() *CrashDetector { return &CrashDetector{servers: map[string]*lostRuns{}} }
+func NewCrashDetector() *CrashDetector {
+	return &CrashDetector{servers: map[string]*lostRuns{}, trials: map[string]bool{}}
+}
+
+// BeginTrial reports whether a suspect may run on the server, because no other one does:
+// if the server crashes, only one of them is to blame. The caller must call EndTrial at
+// the end of the run.
+func (d *CrashDetector) BeginTrial(server string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.trials[server] {
+		return false
+	}
+	d.trials[server] = true
+	return true
+}
+
+// EndTrial ends a run that BeginTrial has allowed.
+func (d *CrashDetector) EndTrial(server string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.trials, server)
+}
 
 // Lost records that a run has ended without a response from the server.
 func (d *CrashDetector) Lost(server string, r Run) {
--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntmetric"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
+	"mulberryshunt.example/mulberryshunt/shuntrandom"
 )
 
 const (
@@ -47,6 +49,18 @@
 	maxHarmless = 1 << 14
 	// maxServersPerEntry limits the number of servers listed for a suspect.
 	maxServersPerEntry = 4
+	// episodeTime is how long crashes that one VM observes under the same request belong
+	// together, and maxEpisodes the number of them that is of interest: one may be chance.
+	episodeTime = time.Second
+	maxEpisodes = 2
+	// newsSends is how often a change is told to other VMs at once.
+	newsSends = 3
+	// repeatedPart is the fraction of the places in a message that repeated suspects may
+	// take while there are others.
+	repeatedPart = 0.75
+	// trialHold is how long after a trial without an answer the request is refused, so
+	// that it can be found out whether the server has crashed.
+	trialHold = 5 * time.Second
 )
 
 // Decision says whether and how a request may run.
@@ -63,6 +77,9 @@
 	// Wait, if not nil, is closed when the current run of the same suspect has
 	// ended. The caller must then call Admit again.
 	Wait <-chan struct{}
+	// RetryAfter is how long a request that is refused will be refused at least; 0 if
+	// that is not known.
+	RetryAfter time.Duration
 }
 
 // Suspicion describes a suspect in messages between VMs.
@@ -75,12 +92,24 @@
 	Strikes int
 	// Age is the time since the last crash.
 	Age time.Duration
+	// Episodes identifies up to maxEpisodes occasions on which a VM observed crashes. A
+	// request that was in flight by chance has one.
+	Episodes []uint32
+	// Observed is true if this VM has observed a crash itself. It is not told to others.
+	Observed bool
 }
 
 type suspicion struct {
 	servers   []string
 	strikes   int
 	crashedAt time.Time
+	episodes  []uint32
+	// observedAt is when this VM last observed a crash itself.
+	observedAt time.Time
+	// heldUntil is when a request may run again whose trial got no answer.
+	heldUntil time.Time
+	// sends counts how often the suspicion has been exported since it last changed.
+	sends int
 	// remote means that another VM observed the crash. That VM runs the suspect
 	// first.
 	remote bool
@@ -100,6 +129,22 @@
 	return now.Sub(s.crashedAt) < s.quarantineTime()
 }
 
+// repeated reports whether the request has crashed servers on more than one occasion, so
+// that it was hardly in flight by chance.
+func (s *suspicion) repeated() bool { return s.strikes > 0 || len(s.episodes) >= maxEpisodes }
+
+// addEpisodes adds episodes to those of the suspect and reports whether that changes them.
+func (s *suspicion) addEpisodes(ids ...uint32) bool {
+	changed := false
+	for _, id := range ids {
+		if len(s.episodes) < maxEpisodes && !slices.Contains(s.episodes, id) {
+			s.episodes = append(s.episodes, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
 func (s *suspicion) expired(now time.Time) bool {
 	return now.Sub(s.crashedAt) >= s.quarantineTime()+suspectTTL
 }
@@ -107,6 +152,8 @@
 // Guard stores the suspects and the known harmless requests of one VM.
 type Guard struct {
 	onCrash     func()
+	onNews      func()
+	random      *shuntrandom.Source
 	crashes     *metrics.Counter
 	quarantines *metrics.Counter
 
@@ -121,10 +168,13 @@
 var (
 	docCrashes     = shuntmetric.Doc{Name: "mulberryshunt_guard_crashes_total", Type: "Counter", Text: "Attempts that were in flight on a backend server when it crashed.", Since: "0.1"}
 	docQuarantines = shuntmetric.Doc{Name: "mulberryshunt_guard_quarantines_total", Type: "Counter", Text: "Quarantines of requests that crashed a backend server while they ran as suspects.", Since: "0.1"}
+	docSuspects    = shuntmetric.Doc{Name: "mulberryshunt_guard_suspects", Type: "Gauge", Text: "Requests that are suspected of crashing backend servers or in quarantine, seen by this VM or heard of.", Since: "0.5"}
 )
 
 // MetricDocs describes the metrics of this package.
-func MetricDocs() []shuntmetric.Doc { return []shuntmetric.Doc{docCrashes, docQuarantines} }
+func MetricDocs() []shuntmetric.Doc {
+	return []shuntmetric.Doc{docCrashes, docQuarantines, docSuspects}
+}
 
 // Config configures a Guard.
 type Config struct {
@@ -133,6 +183,11 @@
 	// OnCrash is called after each recorded crash, so that the other VMs can be
 	// told at once. It may be nil.
 	OnCrash func()
+	// OnNews is called when this VM has observed or heard of something that other VMs
+	// may not know. It may be nil.
+	OnNews func()
+	// Random may be nil.
+	Random *shuntrandom.Source
 }
 
 // New returns a Guard without suspects.
@@ -144,13 +199,37 @@
 	if c.OnCrash == nil {
 		c.OnCrash = func() {}
 	}
-	return &Guard{
+	if c.OnNews == nil {
+		c.OnNews = func() {}
+	}
+	if c.Random == nil {
+		c.Random = shuntrandom.New(0)
+	}
+	g := &Guard{
 		onCrash:     c.OnCrash,
+		onNews:      c.OnNews,
+		random:      c.Random,
 		crashes:     shuntmetric.Counter(set, docCrashes, ""),
 		quarantines: shuntmetric.Counter(set, docQuarantines, ""),
 		suspects:    map[uint64]*suspicion{},
 		harmless:    map[uint64]bool{},
 	}
+	shuntmetric.Gauge(set, docSuspects, "", func() float64 { return float64(g.count()) })
+	return g
+}
+
+// count returns the number of suspects.
+func (g *Guard) count() int {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, s := range g.suspects {
+		if !s.expired(now) {
+			n++
+		}
+	}
+	return n
 }
 
 // Admit decides whether and how the request with the given fingerprint may run
@@ -170,11 +249,19 @@
 }
 
 func (s *suspicion) admit(now time.Time) Decision {
+	if s.remote && !s.quarantined(now) && now.Sub(s.crashedAt) < firstRunWindow {
+		return Decision{Refused: shuntoutcome.CrashSuspect}
+	}
+	return s.beginTrial(now)
+}
+
+// beginTrial decides whether a run of the suspect may begin now.
+func (s *suspicion) beginTrial(now time.Time) Decision {
 	if s.quarantined(now) {
 		return Decision{Refused: shuntoutcome.Quarantined}
 	}
-	if s.remote && now.Sub(s.crashedAt) < firstRunWindow {
-		return Decision{Refused: shuntoutcome.CrashSuspect}
+	if held := s.heldUntil.Sub(now); held > 0 {
+		return Decision{Refused: shuntoutcome.CrashSuspect, RetryAfter: held}
 	}
 	if s.running != nil {
 		return Decision{Wait: s.running}
@@ -191,6 +278,56 @@
 	return ok && !s.expired(time.Now())
 }
 
+// Suspected returns what is known about a request that is a suspect or in quarantine.
+func (g *Guard) Suspected(fingerprint uint64) (Suspicion, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.suspects[fingerprint]
+	if !ok || s.expired(now) {
+		return Suspicion{}, false
+	}
+	return s.export(fingerprint, now), true
+}
+
+// QuarantineLeft returns how long the request remains in quarantine; 0 if it is not.
+func (g *Guard) QuarantineLeft(fingerprint uint64) time.Duration {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.suspects[fingerprint]; ok {
+		return max(0, s.quarantineTime()-now.Sub(s.crashedAt))
+	}
+	return 0
+}
+
+// AdmitTrial decides whether a request may run, for a VM that alone runs it while it is a
+// suspect. If the decision is Suspect, EndTrial must be called at the end of the run.
+func (g *Guard) AdmitTrial(fingerprint uint64) Decision {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.suspects[fingerprint]
+	if !ok || s.expired(now) {
+		return Decision{}
+	}
+	return s.beginTrial(now)
+}
+
+// EndTrial records the end of a run that AdmitTrial admitted as a suspect. lost is true if
+// a server may have run the request and has not answered.
+func (g *Guard) EndTrial(fingerprint uint64, lost bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.suspects[fingerprint]; ok {
+		s.release()
+		if lost {
+			s.heldUntil = now.Add(trialHold)
+		}
+	}
+}
+
 // Release marks the current run of a suspect as ended.
 func (g *Guard) Release(fingerprint uint64) {
 	g.mu.Lock()
@@ -218,13 +355,18 @@
 func (g *Guard) RecordCrash(fingerprint uint64, server string, suspect bool) Decision {
 	g.crashes.Inc()
 	defer g.onCrash()
+	defer g.onNews()
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastCrash = now
 	s := g.getOrCreate(fingerprint, now)
-	s.crashedAt = now
+	if s.observedAt.IsZero() || now.Sub(s.observedAt) > episodeTime {
+		s.addEpisodes(uint32(g.random.Uint64()))
+	}
+	s.crashedAt, s.observedAt = now, now
 	s.remote = false
+	s.sends = 0
 	if !slices.Contains(s.servers, server) && len(s.servers) < maxServersPerEntry {
 		s.servers = append(s.servers, server)
 	}
@@ -255,23 +397,31 @@
 	return s
 }
 
-// makeRoom removes the expired entries and, if the table is still full, the
-// entry with the oldest crash.
+// makeRoom removes the expired entries and, if the table is still full, the entry with
+// the oldest crash, those that are not repeated first.
 func (g *Guard) makeRoom(now time.Time) {
-	var oldest uint64
-	var last time.Time
+	var worst uint64
+	var worstEntry *suspicion
 	for f, s := range g.suspects {
 		if s.expired(now) {
 			g.remove(f)
 			continue
 		}
-		if last.IsZero() || s.crashedAt.Before(last) {
-			oldest, last = f, s.crashedAt
+		if worstEntry == nil || s.dispensableBefore(worstEntry) {
+			worst, worstEntry = f, s
 		}
 	}
 	if len(g.suspects) >= maxSuspects {
-		g.remove(oldest)
+		g.remove(worst)
+	}
+}
+
+// dispensableBefore reports whether s should leave a full table before o.
+func (s *suspicion) dispensableBefore(o *suspicion) bool {
+	if s.repeated() != o.repeated() {
+		return o.repeated()
 	}
+	return s.crashedAt.Before(o.crashedAt)
 }
 
 func (g *Guard) remove(fingerprint uint64) {
@@ -298,30 +448,61 @@
 	g.harmless[fingerprint] = true
 }
 
-// Export returns up to limit suspects for other VMs, those with the latest crash
-// first.
-func (g *Guard) Export(limit int) []Suspicion {
+// Export returns up to limit suspects for other VMs. Repeated suspects take up to
+// repeatedPart of the places before others. Within each kind, those that have been exported
+// least often since they changed come first, so that all have their turn.
+func (g *Guard) Export(limit int) []Suspicion { return g.export(limit, math.MaxInt) }
+
+// News returns up to limit suspects that have changed lately, in the order of Export.
+func (g *Guard) News(limit int) []Suspicion { return g.export(limit, newsSends) }
+
+// export returns up to limit suspects that have been exported less than maxSends times.
+func (g *Guard) export(limit, maxSends int) []Suspicion {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]Suspicion, 0, len(g.suspects))
+	var repeated, single []uint64
 	for f, s := range g.suspects {
-		if !s.expired(now) {
-			out = append(out, Suspicion{f, slices.Clone(s.servers), s.strikes, now.Sub(s.crashedAt)})
+		switch {
+		case s.expired(now) || s.sends >= maxSends:
+		case s.repeated():
+			repeated = append(repeated, f)
+		default:
+			single = append(single, f)
 		}
 	}
-	slices.SortFunc(out, func(a, b Suspicion) int { return cmp.Compare(a.Age, b.Age) })
-	return out[:min(len(out), limit)]
+	for _, list := range [][]uint64{repeated, single} {
+		slices.SortFunc(list, func(a, b uint64) int {
+			x, y := g.suspects[a], g.suspects[b]
+			if c := cmp.Compare(x.sends, y.sends); c != 0 {
+				return c
+			}
+			return y.crashedAt.Compare(x.crashedAt)
+		})
+	}
+	reserved := max(min(len(repeated), int(math.Ceil(repeatedPart*float64(limit)))), min(len(repeated), limit-len(single)))
+	chosen := append(repeated[:reserved:reserved], single...)
+	chosen = chosen[:min(len(chosen), limit)]
+	out := make([]Suspicion, len(chosen))
+	for i, f := range chosen {
+		out[i] = g.suspects[f].export(f, now)
+		g.suspects[f].sends++
+	}
+	return out
+}
+
+func (s *suspicion) export(fingerprint uint64, now time.Time) Suspicion {
+	return Suspicion{Fingerprint: fingerprint, Servers: slices.Clone(s.servers), Strikes: s.strikes, Age: now.Sub(s.crashedAt), Episodes: slices.Clone(s.episodes), Observed: !s.observedAt.IsZero()}
 }
 
 // Merge adds the suspects that another VM exported. It ignores those that this
 // VM knows to be harmless, unless they are in quarantine.
 func (g *Guard) Merge(in []Suspicion) {
 	now := time.Now()
+	news := false
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, e := range in {
-		if e.Age < 0 || e.Strikes < 0 || e.Strikes > maxStrikes || len(e.Servers) > maxServersPerEntry {
+		if e.Age < 0 || e.Strikes < 0 || e.Strikes > maxStrikes || len(e.Servers) > maxServersPerEntry || len(e.Episodes) > maxEpisodes {
 			continue
 		}
 		last := now.Add(-e.Age)
@@ -332,26 +513,41 @@
 		if last.After(g.lastCrash) {
 			g.lastCrash = last
 		}
-		g.merge(e, last, now)
+		news = g.merge(e, last, now) || news
+	}
+	g.mu.Unlock()
+	if news {
+		g.onNews()
 	}
 }
 
-func (g *Guard) merge(e Suspicion, last, now time.Time) {
+// merge adds what another VM knows about one suspect, and reports whether that is news.
+func (g *Guard) merge(e Suspicion, last, now time.Time) (news bool) {
+	known, ok := g.suspects[e.Fingerprint]
 	s := g.getOrCreate(e.Fingerprint, now)
-	if len(s.servers) == 0 {
+	if s != known || !ok {
 		s.crashedAt = last
 		s.remote = true
+		news = true
 	}
 	for _, v := range e.Servers {
 		if !slices.Contains(s.servers, v) && len(s.servers) < maxServersPerEntry {
 			s.servers = append(s.servers, v)
 		}
 	}
-	if len(s.servers) == len(e.Servers) || e.Strikes > s.strikes {
-		klog.InfoS("Request suspected by another VM", "fingerprint", e.Fingerprint, "servers", e.Servers, "strikes", e.Strikes, "age", e.Age.Milliseconds())
-	}
+	news = s.addEpisodes(e.Episodes...) || e.Strikes > s.strikes || news
 	s.strikes = max(s.strikes, e.Strikes)
 	if last.After(s.crashedAt) {
 		s.crashedAt = last
 	}
+	if news {
+		s.sends = 0
+		verbosity := klog.Level(0)
+		if !s.repeated() {
+			// Many requests are in flight by chance when a zone is lost.
+			verbosity = 1
+		}
+		klog.V(verbosity).InfoS("Request suspected by another VM", "fingerprint", e.Fingerprint, "servers", e.Servers, "strikes", s.strikes, "episodes", len(s.episodes), "age", e.Age.Milliseconds())
+	}
+	return news
 }
--- a/shuntguard/guard_test.go
+++ b/shuntguard/guard_test.go
@@ -37,13 +37,17 @@
 			time.Sleep(minQuarantine)
 		}, shuntconfig.CanaryNever, Decision{Refused: shuntoutcome.Quarantined}},
 		"long after": {func(g *Guard) { g.RecordCrash(testFingerprint, "s", true); time.Sleep(24 * time.Hour) }, shuntconfig.CanaryNever, Decision{}},
-		"heard of":   {func(g *Guard) { g.Merge([]Suspicion{{testFingerprint, []string{"s"}, 0, 0}}) }, shuntconfig.CanaryNever, Decision{Refused: shuntoutcome.CrashSuspect}},
+		"heard of":   {func(g *Guard) { g.Merge([]Suspicion{{Fingerprint: testFingerprint, Servers: []string{"s"}}}) }, shuntconfig.CanaryNever, Decision{Refused: shuntoutcome.CrashSuspect}},
 		"heard of before": {func(g *Guard) {
-			g.Merge([]Suspicion{{testFingerprint, []string{"s"}, 0, 0}})
+			g.Merge([]Suspicion{{Fingerprint: testFingerprint, Servers: []string{"s"}}})
 			time.Sleep(firstRunWindow)
 		}, shuntconfig.CanaryNever, Decision{Suspect: true, Canary: true}},
-		"heard of its quarantine": {func(g *Guard) { g.Merge([]Suspicion{{testFingerprint, []string{"s", "t"}, 1, time.Second}}) }, shuntconfig.CanaryNever, Decision{Refused: shuntoutcome.Quarantined}},
-		"heard nonsense":          {func(g *Guard) { g.Merge([]Suspicion{{testFingerprint, []string{"s"}, -4, -time.Hour}}) }, shuntconfig.CanaryNever, Decision{}},
+		"heard of its quarantine": {func(g *Guard) {
+			g.Merge([]Suspicion{{Fingerprint: testFingerprint, Servers: []string{"s", "t"}, Strikes: 1, Age: time.Second}})
+		}, shuntconfig.CanaryNever, Decision{Refused: shuntoutcome.Quarantined}},
+		"heard nonsense": {func(g *Guard) {
+			g.Merge([]Suspicion{{Fingerprint: testFingerprint, Servers: []string{"s"}, Strikes: -4, Age: -time.Hour}})
+		}, shuntconfig.CanaryNever, Decision{}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/shuntmember/codec.go
+++ b/shuntmember/codec.go
@@ -22,13 +22,10 @@
 
 var errMalformedDatagram = errors.New("malformed datagram")
 
-// encodeDatagram encodes the suspicions and as many of the reports as fit into
-// one datagram.
-func encodeDatagram(suspicions []shuntguard.Suspicion, reports []Report) []byte {
-	b := []byte{datagramVersion, byte(len(suspicions))}
-	for _, s := range suspicions {
-		b = appendSuspicion(b, s)
-	}
+// encodeDatagram encodes as many of the reports as fit into one datagram. The second byte
+// is the number of suspicions, which earlier versions of the program sent here too.
+func encodeDatagram(reports []Report) []byte {
+	b := []byte{datagramVersion, 0}
 	for _, r := range reports {
 		e := encodeReport(r)
 		if len(b)+len(e) > maxDatagram {
@@ -39,17 +36,6 @@
 	return b
 }
 
-func appendSuspicion(b []byte, s shuntguard.Suspicion) []byte {
-	b = binary.BigEndian.AppendUint64(b, s.Fingerprint)
-	b = binary.AppendUvarint(b, uint64(s.Strikes))
-	b = binary.AppendUvarint(b, uint64(s.Age.Milliseconds()))
-	b = binary.AppendUvarint(b, uint64(len(s.Servers)))
-	for _, v := range s.Servers {
-		b = appendString(b, v)
-	}
-	return b
-}
-
 func appendString(b []byte, s string) []byte {
 	s = s[:min(len(s), math.MaxUint8)]
 	return append(append(b, byte(len(s))), s...)
--- a/shuntmember/fuzz_test.go
+++ b/shuntmember/fuzz_test.go
@@ -9,25 +9,43 @@
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 )
 
-// FuzzDatagram checks that what a datagram decodes to is the same after it was encoded and
-// decoded again.
+// FuzzDatagram checks that the reports that a datagram decodes to are the same after they
+// were encoded and decoded again.
 func FuzzDatagram(f *testing.F) {
-	f.Add(encodeDatagram([]shuntguard.Suspicion{{Fingerprint: 7, Servers: []string{"i-1"}, Strikes: 2, Age: 3 * time.Second}}, newReports(3, equalCapacity)))
-	f.Add(encodeDatagram(nil, nil))
+	f.Add(earlierDatagram([]shuntguard.Suspicion{{Fingerprint: 7, Servers: []string{"i-1"}, Strikes: 2, Age: 3 * time.Second}}, newReports(3, equalCapacity)))
+	f.Add(encodeDatagram(nil))
 	f.Add([]byte{datagramVersion, 1, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		suspicions, reports, err := decodeDatagram(b)
+		_, reports, err := decodeDatagram(b)
 		if err != nil {
 			return
 		}
-		again := encodeDatagram(suspicions, reports)
-		suspicions, reports, err = decodeDatagram(again)
-		if err != nil || !bytes.Equal(encodeDatagram(suspicions, reports), again) {
+		again := encodeDatagram(reports)
+		suspicions, reports, err := decodeDatagram(again)
+		if err != nil || suspicions != nil || !bytes.Equal(encodeDatagram(reports), again) {
 			t.Errorf("%x is not the same again: %v", again, err)
 		}
 	})
 }
 
+// FuzzSuspicions checks the same of suspicions, and that a guard bears any of them.
+func FuzzSuspicions(f *testing.F) {
+	f.Add(encodeSuspicions([]shuntguard.Suspicion{{Fingerprint: 7, Strikes: 2, Age: 3 * time.Second, Episodes: []uint32{1, 2}}, {Fingerprint: 8}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		guard := shuntguard.New(shuntguard.Config{})
+		x := suspicionExchange{table: guard}
+		if ok, err := x.handle(b); !ok || err != nil {
+			return
+		}
+		r := &reader{rest: b[1:]}
+		again := encodeSuspicions(readAll(r, (*reader).briefSuspicion))
+		r = &reader{rest: again[1:]}
+		if in := readAll(r, (*reader).briefSuspicion); r.err != nil || !bytes.Equal(encodeSuspicions(in), again) {
+			t.Errorf("%x is not the same again: %v", again, r.err)
+		}
+	})
+}
+
 // FuzzLimits checks the same of claims and grants, and that claims never make a VM grant
 // more than the limit that they state.
 func FuzzLimits(f *testing.F) {
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"reflect"
@@ -288,24 +289,46 @@
 				t.Errorf("%d VMs: the datagram has no report of %v", n, f)
 			}
 		}
-		return len(encodeDatagram(nil, sent))
+		return len(encodeDatagram(sent))
 	}
 	if small, large := size(60), size(870); large > small+small/10 {
 		t.Errorf("the reports take %d bytes with 60 VMs and %d with 870", small, large)
 	}
 }
 
-// TestDatagram checks that a datagram can be decoded after it was encoded, and
-// that any other bytes cause an error and no panic.
+// earlierDatagram returns a datagram as earlier versions of the program send it, with
+// suspicions before the reports.
+func earlierDatagram(suspicions []shuntguard.Suspicion, reports []Report) []byte {
+	b := []byte{datagramVersion, byte(len(suspicions))}
+	for _, s := range suspicions {
+		b = binary.BigEndian.AppendUint64(b, s.Fingerprint)
+		b = binary.AppendUvarint(b, uint64(s.Strikes))
+		b = binary.AppendUvarint(b, uint64(s.Age.Milliseconds()))
+		b = binary.AppendUvarint(b, uint64(len(s.Servers)))
+		for _, v := range s.Servers {
+			b = appendString(b, v)
+		}
+	}
+	for _, r := range reports {
+		b = append(b, encodeReport(r)...)
+	}
+	return b
+}
+
+// TestDatagram checks that a datagram can be decoded after it was encoded, also one of
+// an earlier version, and that any other bytes cause an error and no panic.
 func TestDatagram(t *testing.T) {
 	suspicions := []shuntguard.Suspicion{{Fingerprint: 7, Servers: []string{"i-1", "i-2"}, Strikes: 2, Age: 3 * time.Second}}
 	reports := newReports(5, equalCapacity)
-	b := encodeDatagram(suspicions, reports)
+	b := earlierDatagram(suspicions, reports)
 	gotSuspicions, gotReports, err := decodeDatagram(b)
 	if err != nil || !reflect.DeepEqual(gotReports, reports) || !reflect.DeepEqual(gotSuspicions, suspicions) {
 		t.Errorf("got %+v %+v %v", gotSuspicions, gotReports, err)
 	}
-	if b := encodeDatagram(nil, newReports(870, equalCapacity)); len(b) > maxDatagram {
+	if gotSuspicions, gotReports, err := decodeDatagram(encodeDatagram(reports)); err != nil || !reflect.DeepEqual(gotReports, reports) || gotSuspicions != nil {
+		t.Errorf("got %+v %+v %v", gotSuspicions, gotReports, err)
+	}
+	if b := encodeDatagram(newReports(870, equalCapacity)); len(b) > maxDatagram {
 		t.Errorf("got a datagram of %d bytes", len(b))
 	}
 	rapid.Check(t, func(rt *rapid.T) {
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -43,8 +43,6 @@
 	// addition to the VM's own report and those of the preferred VMs. It keeps
 	// the size of a datagram independent of the number of VMs.
 	maxOtherReports = 8
-	// maxSuspicions is the maximum number of suspicions in a datagram.
-	maxSuspicions = 6
 	// readBufferSize is enough for a datagram of any size.
 	readBufferSize = 64 << 10
 )
@@ -71,30 +69,23 @@
 	ChangesSince func(revision int64) shuntcatalog.Delta
 }
 
-// SuspicionTable holds the query contents that are suspected of crashing
-// backend servers.
-type SuspicionTable interface {
-	Export(limit int) []shuntguard.Suspicion
-	Merge(in []shuntguard.Suspicion)
-}
-
 // Node exchanges reports with the other VMs.
 type Node struct {
-	config   Config
-	limits   *limitExchange
-	updates  chan func(*MemberList)
-	snapshot atomic.Pointer[Snapshot]
-	socket   *net.UDPConn
-	listener net.Listener
+	config     Config
+	limits     *limitExchange
+	suspicions *suspicionExchange
+	updates    chan func(*MemberList)
+	snapshot   atomic.Pointer[Snapshot]
+	socket     *net.UDPConn
+	listener   net.Listener
 }
 
 // NewNode returns a Node that has not started.
 func NewNode(c Config) *Node {
 	n := &Node{config: c, updates: make(chan func(*MemberList), 64)}
-	n.limits = &limitExchange{
-		self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot,
-		send: func(b []byte, to netip.AddrPort) { n.send(b, []netip.AddrPort{to}) },
-	}
+	sendTo := func(b []byte, to netip.AddrPort) { n.send(b, []netip.AddrPort{to}) }
+	n.limits = &limitExchange{self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot, send: sendTo}
+	n.suspicions = &suspicionExchange{table: c.Guard, snapshot: n.Snapshot, sample: n.sample, send: sendTo, news: make(chan struct{}, 1)}
 	n.snapshot.Store(n.newMemberList().Snapshot(time.Now(), false))
 	return n
 }
@@ -132,6 +123,7 @@
 	n.config.Group.Go(func() { n.receive(ctx) })
 	n.config.Group.Go(func() { n.run(ctx) })
 	n.config.Group.Go(func() { n.claimLimits(ctx) })
+	n.config.Group.Go(func() { n.spreadNews(ctx) })
 	n.config.Group.Go(func() { n.serveState(ctx) })
 	return nil
 }
@@ -195,11 +187,13 @@
 // sendReports sends reports to some other VMs. Most datagrams stay in the zone
 // because traffic between regions is expensive.
 func (n *Node) sendReports(l *MemberList, heartbeats int, urgent bool) {
-	n.send(n.encodeReports(l), n.targets(l, heartbeats, urgent))
+	targets := n.targets(l, heartbeats, urgent)
+	n.send(n.encodeReports(l), targets)
+	n.suspicions.tell(targets, maxSuspicions)
 }
 
 func (n *Node) encodeReports(l *MemberList) []byte {
-	return encodeDatagram(n.config.Guard.Export(maxSuspicions), l.ReportsToSend(n.Snapshot().preferredVMs(), maxOtherReports))
+	return encodeDatagram(l.ReportsToSend(n.Snapshot().preferredVMs(), maxOtherReports))
 }
 
 func (n *Node) send(b []byte, to []netip.AddrPort) {
@@ -258,16 +252,19 @@
 }
 
 func (n *Node) handleDatagram(ctx context.Context, from netip.AddrPort, b []byte) {
-	isLimits, err := n.limits.handle(from, b, time.Now())
+	handled, err := n.limits.handle(from, b, time.Now())
+	if !handled {
+		handled, err = n.suspicions.handle(b)
+	}
 	var suspicions []shuntguard.Suspicion
 	var reports []Report
-	if !isLimits {
+	if !handled {
 		suspicions, reports, err = decodeDatagram(b)
 	}
 	if err != nil {
 		klog.InfoS("Ignoring malformed datagram", "from", from, "bytes", len(b), "reason", err.Error())
 	}
-	if err != nil || isLimits {
+	if err != nil || handled {
 		return
 	}
 	n.config.Guard.Merge(suspicions)
@@ -284,6 +281,8 @@
 	joins := len(reports) > 0 && !l.Knows(reports[0])
 	l.Merge(reports, time.Now())
 	if joins {
-		n.send(n.encodeReports(l), []netip.AddrPort{reports[0].Address})
+		to := []netip.AddrPort{reports[0].Address}
+		n.send(n.encodeReports(l), to)
+		n.suspicions.tell(to, maxJoinSuspicions)
 	}
 }
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -361,6 +361,42 @@
 	return len(s.entries) == 0 || heaviest(maps.Keys(s.entries), name) == s.self
 }
 
+// InChargeOfSuspect returns the one VM that runs the request with the fingerprint while it
+// is suspected of crashing backend servers: an entry in the regions, or in any if there
+// are none. self is true if that is this VM. It returns false if there is no such VM, or if this VM does not
+// hear from most of the VMs that it knew lately, so that after a loss of contact at most one
+// side has a VM in charge.
+func (s *Snapshot) InChargeOfSuspect(fingerprint uint64, regions []string) (vm Report, self, ok bool) {
+	heard := 0
+	entries := map[netip.AddrPort]Report{}
+	for region, reports := range s.regions {
+		heard += len(reports)
+		for _, m := range reports {
+			if s.entries[m.Address] && (len(regions) == 0 || slices.Contains(regions, region)) {
+				entries[m.Address] = m
+			}
+		}
+	}
+	if !s.settled || heard <= len(s.shares.silent) || len(entries) == 0 {
+		return Report{}, false, false
+	}
+	vm = entries[heaviest(maps.Keys(entries), suspectName(fingerprint))]
+	return vm, vm.Address == s.self, true
+}
+
+// others returns the VMs that are alive, except this one.
+func (s *Snapshot) others() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, region := range slices.Sorted(maps.Keys(s.regions)) {
+		for _, m := range s.regions[region] {
+			if m.Address != s.self {
+				out = append(out, m.Address)
+			}
+		}
+	}
+	return out
+}
+
 // heaviest returns the VM with the greatest weight for the name, by which VMs that know
 // the same ones agree on one of them. It returns the zero value if there are none.
 func heaviest(vms iter.Seq[netip.AddrPort], name string) netip.AddrPort {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -93,6 +93,7 @@
 	coldLimiter      *shuntbalance.ColdLimiter
 	rateLimiter      *shuntbalance.RateLimiter
 	throttle         *shuntbalance.Throttle
+	guard            *shuntguard.Guard
 	caller           *shuntcall.Caller
 	random           *shuntrandom.Source
 	metrics          *routerMetrics
@@ -117,13 +118,13 @@
 		metrics:          newRouterMetrics(c.Metrics),
 		conns:            newCallerConns(),
 	}
-	guard := shuntguard.New(shuntguard.Config{Metrics: c.Metrics})
+	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
 	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }})
 	registerGauges(c.Metrics, r)
 	r.node = shuntmember.NewNode(shuntmember.Config{
 		Address: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf:     func(zone string) string { return s.RegionByZone[zone] },
-		Guard:        guard,
+		Guard:        r.guard,
 		RateLimits:   r.rateLimiter,
 		ChangesSince: func(revision int64) shuntcatalog.Delta { return r.follower.ChangesSince(r.ctx, revision) },
 	})
@@ -142,7 +143,7 @@
 		ColdRate:      func(v shuntroute.Service) float64 { return v.ColdRate*s.ColdFactor + s.ColdSlack },
 		Throttle:      r.throttle,
 		Metrics:       shuntcall.NewMetrics(c.Metrics),
-		Guard:         guard,
+		Guard:         r.guard,
 		CrashDetector: shuntguard.NewCrashDetector(),
 	})
 	return r
