shuntcall: one VM runs a suspect, on one server; others relay it there

After the first crash every VM tried the suspect for itself, a query over many shards on one server of each shard, and its first run had already cost both servers of each: 24 of 24 servers of a test fleet (TestCrashingRequestFleet/all_shards). A VM that gathered shards for another one asked its own guard nothing. An answer with shards missing cleared a suspect though their servers had gone silent under it.

- One entry is in charge of a suspect (rendezvous hash); no side of a partition without most of the VMs has one.
Others relay the request to it as a whole and pass its reply on.
- A trial runs on one server, on which no other suspect runs; a query tries one shard first.
- Where several shards of a query lose their connections, one of them retries first; the others follow when it has been answered.
- A VM that is asked for shards of a suspect declines and says why; the other one stops too.
- Only a run in which no server was left without an answer clears a suspect (TestHarmlessSuspect).
- A refusal in quarantine says for how long.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -54,6 +54,10 @@
 	IsResponsibleFor(server string) bool
 	// Delegates returns the other VMs that can gather shards for this one.
 	Delegates() []Delegate
+	// InCharge returns the one VM that runs the request with the fingerprint while it is a
+	// suspect: one of the regions, or of any if there are none. self is true if that is
+	// this VM. It returns false if there is none, as far as this VM can know.
+	InCharge(fingerprint uint64, regions []string) (vm Delegate, self, ok bool)
 }
 
 // Config configures a Caller.
@@ -124,6 +128,8 @@
 	// request to run on one server only.
 	Fingerprint  uint64
 	SingleServer bool
+	// gate is common to the shards of a query; nil if there are none.
+	gate *retryGate
 }
 
 // CallStatus is the final status of a call.
@@ -159,6 +165,8 @@
 	// Attempts is the number of attempts made.
 	Attempts int
 	Reason   string
+	// Lost is true if a server may have run the request and has not answered.
+	Lost bool
 }
 
 type attemptResult struct {
@@ -178,6 +186,10 @@
 	open       int
 	attempts   int
 	mayHaveRun int
+	// lost is true if an attempt that may have run got no answer.
+	lost bool
+	// firstRetry is true while this call is the one that the gate has let through first.
+	firstRetry bool
 	last       attemptResult
 	hasLast    bool
 }
@@ -196,6 +208,7 @@
 }
 
 func (r *call) loop(first shuntroute.Server) Result {
+	defer func() { r.leaveGate(false) }()
 	hedge := r.hedgeTimer(first)
 	defer hedge.Stop()
 	for {
@@ -220,9 +233,15 @@
 	for r.open > 0 {
 		e := <-r.results
 		r.open--
-		if e.outcome.Status.MayHaveRun() {
-			r.mayHaveRun++
-		}
+		r.count(e)
+	}
+}
+
+// count records whether the request may have run in an attempt without success.
+func (r *call) count(e attemptResult) {
+	if e.outcome.Status.MayHaveRun() {
+		r.mayHaveRun++
+		r.lost = r.lost || e.outcome.Status != shuntupstream.Answered
 	}
 }
 
@@ -263,8 +282,9 @@
 		return Result{Status: Served, Reply: e.outcome.Reply, HasReply: true, Server: e.server.ID, Attempts: r.attempts, Latency: time.Since(e.started)}, true
 	}
 	r.last, r.hasLast = e, true
-	if e.outcome.Status.MayHaveRun() {
-		r.mayHaveRun++
+	r.count(e)
+	if r.firstRetry && e.outcome.Status == shuntupstream.Broken && r.attempts > 1 {
+		r.leaveGate(true)
 	}
 	klog.InfoS("Attempt failed", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", e.server.ID,
 		"status", e.outcome.Status, "code", e.outcome.Reply.Code, "reason", errorText(e.outcome.Err), "after", time.Since(e.started).Milliseconds(), "asked", r.attempts)
@@ -326,10 +346,11 @@
 	}
 	free := e.outcome.Status == shuntupstream.NotSent || e.outcome.Status == shuntupstream.NoRoom
 	s, ok := r.choose(true)
-	if !free && !r.takeBudget(0) {
-		if ok {
-			r.caller.config.RateLimiter.Refund(s)
-		}
+	mayRetry := (e.outcome.Status != shuntupstream.Broken || r.enterGate()) && (free || r.takeBudget(0))
+	if ok && !mayRetry {
+		r.caller.config.RateLimiter.Refund(s)
+	}
+	if !mayRetry {
 		return false
 	}
 	if ok {
@@ -350,6 +371,22 @@
 	}
 }
 
+// enterGate reports whether another server may be tried after a connection broke, as far
+// as the other shards of the query are concerned.
+func (r *call) enterGate() bool {
+	first, ok := r.call.gate.enter(r.ctx)
+	r.firstRetry = first
+	return ok
+}
+
+// leaveGate lets the other shards of the query go on, if they wait for this one.
+func (r *call) leaveGate(broken bool) {
+	if r.firstRetry {
+		r.firstRetry = false
+		r.call.gate.leave(broken)
+	}
+}
+
 // launch starts an attempt at the server.
 func (r *call) launch(why string, s shuntroute.Server) bool {
 	r.tried = append(r.tried, shuntbalance.IncarnationOf(s))
@@ -422,6 +459,10 @@
 		c.RateLimiter.Refund(s)
 		return false
 	}
+	if r.call.SingleServer && !c.CrashDetector.BeginTrial(s.ID) {
+		c.RateLimiter.Refund(s)
+		return false
+	}
 	return true
 }
 
@@ -436,6 +477,9 @@
 	if o.Status == shuntupstream.NotSent || o.Status == shuntupstream.NoRoom {
 		c.config.RateLimiter.Refund(s)
 	}
+	if in.SingleServer {
+		c.config.CrashDetector.EndTrial(s.ID)
+	}
 	c.config.Balancer.End(s, a, balancerResult(ctx, o))
 	c.detectCrash(ctx, in, s, o, started)
 	c.observeLimit(s, o)
@@ -488,7 +532,7 @@
 // finish returns the result of a call without a success. The request is reported as
 // not run only if no attempt is open and none may have run.
 func (r *call) finish(reason string) Result {
-	res := Result{Attempts: r.attempts, Reason: reason, Server: r.last.server.ID}
+	res := Result{Attempts: r.attempts, Reason: reason, Server: r.last.server.ID, Lost: r.lost || r.open > 0}
 	switch {
 	case r.open == 0 && r.mayHaveRun == 0:
 		res.Status = Refused
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -59,7 +59,9 @@
 	behaviors   map[string]behavior
 	responsible bool
 	delegates   []Delegate
-	share       float64
+	// inCharge is the VM in charge of suspects; this VM if it has no address.
+	inCharge Delegate
+	share    float64
 
 	mu       sync.Mutex
 	arrivals map[string]int
@@ -79,6 +81,9 @@
 func (w *testCluster) Share() float64               { return w.share }
 func (w *testCluster) IsResponsibleFor(string) bool { return w.responsible }
 func (w *testCluster) Delegates() []Delegate        { return w.delegates }
+func (w *testCluster) InCharge(uint64, []string) (Delegate, bool, bool) {
+	return w.inCharge, w.inCharge.Address == "", true
+}
 
 // run creates a caller for the services and runs f in virtual time.
 func run(t *testing.T, services map[string]map[string]behavior, f func(t *testing.T, w *testCluster)) {
--- a/shuntcall/delegate.go
+++ b/shuntcall/delegate.go
@@ -214,13 +214,10 @@
 // askDelegate has another VM gather the shards. If that VM certainly has not begun,
 // this VM queries the shards itself. Otherwise the shards may already have had all
 // their allowed attempts, so they are not queried again.
-func (c *Caller) askDelegate(ctx context.Context, q Query, s Subset, d delegation, results chan<- shardResult) {
+func (c *Caller) askDelegate(ctx context.Context, q Query, g *queryState, d delegation, results chan<- shardResult) {
+	s := g.subset
 	sent := time.Now()
-	initial := initialNetworkTime
-	if d.to.Region == c.config.Self.Region {
-		initial = initialLocalTime
-	}
-	due := time.Until(s.Due) - c.networkTimes.estimate(d.to.ID, initial) - networkTimeMargin
+	due := time.Until(s.Due) - c.networkTimes.estimate(d.to.ID, c.initialTimeTo(d.to.Region)) - networkTimeMargin
 	r := delegatedRequest(q, s, d.shards, due)
 	a := c.config.DelegateBalancer.Begin(d.to)
 	open := c.health.begin(d.to.ID, s.Due)
@@ -239,8 +236,12 @@
 		c.config.Metrics.delegated[Refused].Add(len(d.shards))
 		klog.InfoS("Shards not gathered by another VM", "request", q.Request.ID, "vm", d.to.ID, "region", d.to.Region, "shards", len(d.shards), "status", o.Status,
 			"reason", errorText(o.Err))
+		if c.mergeSuspicion(q.Fingerprint, o.Reply.Header) {
+			results <- shardResult{shards: len(d.shards), status: Refused, reason: "suspected of crashing backend servers"}
+			return
+		}
 		for _, shard := range d.shards {
-			if !c.config.Group.Go(func() { results <- c.askShard(ctx, q, shard) }) {
+			if !c.config.Group.Go(func() { results <- c.askShard(ctx, q, g.gate, shard) }) {
 				results <- shardResult{shards: 1, status: Refused, reason: "the process is ending"}
 			}
 		}
@@ -259,6 +260,15 @@
 	results <- e
 }
 
+// initialTimeTo returns the assumed round-trip time to a VM of the region until it has been
+// measured.
+func (c *Caller) initialTimeTo(region string) time.Duration {
+	if region == c.config.Self.Region {
+		return initialLocalTime
+	}
+	return initialNetworkTime
+}
+
 // networkTimes holds the average network round-trip time to each VM.
 type networkTimes struct {
 	mu    sync.Mutex
--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
-	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
@@ -31,27 +30,46 @@
 
 // Admission tells whether and how a request may run.
 type Admission struct {
-	// Refused is the reason why the request may not run; empty if it may.
-	Refused string
+	// Refused is the reason why the request may not run; empty if it may. RetryAfter is
+	// how long it will not; 0 if that is not known.
+	Refused    string
+	RetryAfter time.Duration
 	// Suspect is set if the request may have crashed a server. It is then sent to one
-	// server only.
+	// server only, one shard first.
 	Suspect bool
+	// Relay is set if the VM RelayTo is the one to run the request.
+	Relay   bool
+	RelayTo Delegate
 }
 
-// Admit decides whether the request with this fingerprint may run. It protects the
-// backend servers from callers that keep sending a request which crashes them. The
-// caller must call release when the request has ended.
-func (c *Caller) Admit(fingerprint uint64) (a Admission, release func()) {
-	v := c.config.Guard.Admit(fingerprint, shuntconfig.CanaryNever)
+// Admit decides whether the request with this fingerprint, to a route that is bound to the
+// regions, may run. It protects the backend servers from callers that keep sending a
+// request which crashes them. Of all VMs, one runs a suspect: if each of them tried it, a
+// large fleet would lose a server each. The caller must call release when the request has
+// ended, with whether a server may have run it without answering.
+func (c *Caller) Admit(fingerprint uint64, regions []string) (a Admission, release func(lost bool)) {
+	none := func(bool) {}
+	if _, suspected := c.config.Guard.Suspected(fingerprint); !suspected {
+		return Admission{}, none
+	}
+	if left := c.config.Guard.QuarantineLeft(fingerprint); left > 0 {
+		return Admission{Refused: shuntoutcome.Quarantined.String(), RetryAfter: left}, none
+	}
+	vm, self, ok := c.config.Fleet.InCharge(fingerprint, regions)
 	switch {
-	case v.Refused != shuntoutcome.None:
-		return Admission{Refused: v.Refused.String()}, func() {}
-	case v.Wait != nil:
-		return Admission{Refused: shuntoutcome.CrashSuspect.String()}, func() {}
+	case !ok:
+		return Admission{Refused: shuntoutcome.CrashSuspect.String()}, none
+	case !self:
+		return Admission{Relay: true, RelayTo: vm}, none
+	}
+	v := c.config.Guard.AdmitTrial(fingerprint)
+	switch {
+	case v.Refused != shuntoutcome.None || v.Wait != nil:
+		return Admission{Refused: shuntoutcome.CrashSuspect.String(), RetryAfter: v.RetryAfter}, none
 	case v.Suspect:
-		return Admission{Suspect: true}, func() { c.config.Guard.Release(fingerprint) }
+		return Admission{Suspect: true}, func(lost bool) { c.config.Guard.EndTrial(fingerprint, lost) }
 	}
-	return Admission{}, func() {}
+	return Admission{}, none
 }
 
 // silentAfter is how long a server that answers nothing may take for a request until it
@@ -120,5 +138,9 @@
 	}
 }
 
+// IsSuspect reports whether the request with the fingerprint is a suspect or in
+// quarantine.
+func (c *Caller) IsSuspect(fingerprint uint64) bool { return c.config.Guard.IsSuspect(fingerprint) }
+
 // RecordSuccess records that a suspect request was served without a crash.
 func (c *Caller) RecordSuccess(fingerprint uint64) { c.config.Guard.RecordSuccess(fingerprint) }
--- a/shuntcall/guard_test.go
+++ b/shuntcall/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,8 +41,9 @@
 // decided and how the request ended.
 func (w *testCluster) sendGuarded(target string, fingerprint uint64, idempotent bool) (Admission, CallStatus) {
 	start := time.Now()
-	a, release := w.caller.Admit(fingerprint)
-	defer release()
+	a, release := w.caller.Admit(fingerprint, nil)
+	lost := true
+	defer func() { release(lost) }()
 	if a.Refused != "" {
 		return a, Refused
 	}
@@ -52,6 +54,7 @@
 	service, _ := w.table.Service("s")
 	route := &shuntroute.Route{Idempotent: idempotent, LatencyGoal: goal, MaxAttempts: 2}
 	res := w.caller.Forward(ctx, route, service, r, fingerprint, a.Suspect)
+	lost = res.Lost
 	if a.Suspect && res.Status == Served {
 		w.caller.RecordSuccess(fingerprint)
 	}
@@ -117,8 +120,8 @@
 				time.Sleep(2 * time.Second)
 				w.setCut(false)
 				time.Sleep(time.Second)
-				if a, release := w.caller.Admit(fingerprint); a.Suspect || a.Refused != "" {
-					release()
+				if a, release := w.caller.Admit(fingerprint, nil); a.Suspect || a.Refused != "" {
+					release(false)
 					t.Errorf("got %+v; want it not suspected", a)
 				}
 			})
@@ -138,10 +141,92 @@
 		w.caller.detectCrash(t.Context(), in, s, shuntupstream.Outcome{Status: shuntupstream.Broken}, begun)
 		w.caller.detectCrash(t.Context(), Call{Fingerprint: 8}, s, shuntupstream.Outcome{Status: shuntupstream.Answered}, begun)
 		time.Sleep(time.Second)
-		if a, release := w.caller.Admit(7); !a.Suspect {
+		if a, release := w.caller.Admit(7, nil); !a.Suspect {
 			t.Errorf("got %+v; want a suspect", a)
 		} else {
-			release()
+			release(false)
 		}
 	})
 }
+
+// TestRetriesOfBrokenShards checks what a query does whose servers all break their
+// connections: if it crashes them itself, one more server is lost; if a zone was lost, it
+// is answered by the others in time.
+func TestRetriesOfBrokenShards(t *testing.T) {
+	const shards = 10
+	cases := map[string]struct {
+		target string
+		first  behavior
+		status CallStatus
+		most   int
+	}{
+		"the query crashes servers": {crashTarget, behavior{after: fast}, Faulted, shards + 1},
+		"a zone is lost":            {"/", behavior{broken: true, after: time.Millisecond}, Served, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			services := map[string]map[string]behavior{}
+			route := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, MinCoverage: 0.8, TopRecords: 3}
+			for i := range shards {
+				name := fmt.Sprintf("s%d", i)
+				route.Shards = append(route.Shards, name)
+				services[name] = map[string]behavior{"a": c.first, "b": {after: fast, region: "there"}}
+			}
+			run(t, services, func(t *testing.T, w *testCluster) {
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				r := w.request(start)
+				r.Target = c.target
+				a := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: r, Start: start, Fingerprint: 7})
+				if took := time.Since(start); a.Status != c.status || a.Missing > 0 && a.Status == Served || took > goal {
+					t.Errorf("ended %v after %v, %d missing (%s); want %v", a.Status, took, a.Missing, a.Reason, c.status)
+				}
+				if w.crashes > c.most {
+					t.Errorf("%d servers crashed; want at most %d", w.crashes, c.most)
+				}
+			})
+		})
+	}
+}
+
+// TestHarmlessSuspect checks that a request that was in flight by chance when its server
+// crashed is served when it comes again, and is no suspect then, also if all shards are
+// queried; if a shard is missing whose server may have run it, it stays a suspect.
+func TestHarmlessSuspect(t *testing.T) {
+	services := map[string]map[string]behavior{"a": {"1": {after: fast}}, "b": {"1": {after: fast}}, "mute": {"1": {responseHangs: true}}}
+	cases := map[string]struct {
+		shards  []string
+		suspect bool
+	}{
+		"all shards answer": {[]string{"a", "b"}, false},
+		"one is mute":       {[]string{"a", "b", "mute"}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, services, func(t *testing.T, w *testCluster) {
+				const fingerprint = 7
+				w.caller.config.Guard.RecordCrash(fingerprint, "gone", false)
+				a, release := w.caller.Admit(fingerprint, nil)
+				if !a.Suspect {
+					t.Fatalf("got %+v; want a trial", a)
+				}
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				route := &shuntroute.Route{Idempotent: true, LatencyGoal: goal, MaxAttempts: 2, MinCoverage: 0.5, TopRecords: 3, Shards: c.shards}
+				res := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: w.request(start), Start: start, Fingerprint: fingerprint, Suspect: true})
+				if res.Status != Served || res.Lost != c.suspect {
+					t.Errorf("ended %v, lost %v (%s)", res.Status, res.Lost, res.Reason)
+				}
+				if !res.Lost {
+					w.caller.RecordSuccess(fingerprint)
+				}
+				release(res.Lost)
+				if a, _ := w.caller.Admit(fingerprint, nil); (a.Refused != "") != c.suspect || a.Suspect {
+					t.Errorf("next time: got %+v", a)
+				}
+			})
+		})
+	}
+}
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -72,6 +72,8 @@
 	// Reason is why the last of the missing shards is missing.
 	Reason   string
 	Attempts int
+	// Lost is true if a server may have run the query and has not answered.
+	Lost bool
 }
 
 // shardResult is the result of one or several shards.
@@ -85,6 +87,7 @@
 	elapsed  time.Duration
 	attempts int
 	reason   string
+	lost     bool
 }
 
 // Scatter queries one server of each shard. It answers as soon as all shards have
@@ -100,11 +103,28 @@
 		c.recordDemand(q, g.subset.Shards)
 		return Answer{Status: Refused, Missing: len(q.Route.Shards), Reason: reason}
 	}
+	if q.Suspect && !c.tryFirstShard(ctx, q, g) {
+		return g.answer(g.failure())
+	}
 	a := c.gather(ctx, q, g, c.divide(q))
 	c.config.Throttle.RecordCompletion(q.index(), g.loadTime(), q.Route.LatencyGoal, len(g.signatures) >= g.subset.MinShards)
 	return a
 }
 
+// tryFirstShard queries a single shard, and reports whether its server answered: a query
+// that crashes servers would otherwise cost one of each shard.
+func (c *Caller) tryFirstShard(ctx context.Context, q Query, g *queryState) bool {
+	for i, shard := range g.shards {
+		if c.askable(q, shard) {
+			e := c.askShard(ctx, q, g.gate, shard)
+			g.add(e)
+			g.shards = slices.Delete(slices.Clone(g.shards), i, i+1)
+			return e.status == Served
+		}
+	}
+	return false
+}
+
 // Gather queries one server of each shard of the subset on behalf of another VM.
 func (c *Caller) Gather(ctx context.Context, q Query, s Subset) Answer {
 	if reason, ok := c.unservable(q, s); ok {
@@ -117,7 +137,7 @@
 func (c *Caller) gather(ctx context.Context, q Query, g *queryState, delegations []delegation) Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan shardResult, len(g.subset.Shards))
+	results := make(chan shardResult, len(g.shards))
 	running := true
 	delegated := map[string]bool{}
 	for _, d := range delegations {
@@ -125,16 +145,16 @@
 			delegated[shard] = true
 		}
 		running = running && c.config.Group.Go(func() {
-			if !shuntgroup.Protect("delegated shards", func() { c.askDelegate(ctx, q, g.subset, d, results) }) {
+			if !shuntgroup.Protect("delegated shards", func() { c.askDelegate(ctx, q, g, d, results) }) {
 				results <- shardResult{shards: len(d.shards), status: Faulted, reason: errPanicked.Error()}
 			}
 		})
 	}
-	for _, shard := range g.subset.Shards {
+	for _, shard := range g.shards {
 		if !delegated[shard] {
 			running = running && c.config.Group.Go(func() {
 				result := shardResult{shards: 1, status: Faulted, reason: errPanicked.Error()}
-				shuntgroup.Protect("shard", func() { result = c.askShard(ctx, q, shard) })
+				shuntgroup.Protect("shard", func() { result = c.askShard(ctx, q, g.gate, shard) })
 				results <- result
 			})
 		}
@@ -205,7 +225,7 @@
 	}
 }
 
-func (c *Caller) askShard(ctx context.Context, q Query, shard string) shardResult {
+func (c *Caller) askShard(ctx context.Context, q Query, gate *retryGate, shard string) shardResult {
 	s, ok := q.Table.Service(shard)
 	if !ok {
 		return shardResult{shards: 1, status: Refused, reason: shard + ": no such service"}
@@ -216,10 +236,11 @@
 		Request:        q.Request,
 		Fingerprint:    q.Fingerprint,
 		SingleServer:   q.Suspect,
+		gate:           gate,
 		HedgeAfter:     time.Until(q.Start.Add(time.Duration(hedgeFraction * float64(q.Route.LatencyGoal)))),
 		HedgeByLatency: true,
 	})
-	out := shardResult{shards: 1, status: res.Status, latency: res.Latency, elapsed: time.Since(q.Start), attempts: res.Attempts, reason: shard + ": " + res.Reason}
+	out := shardResult{shards: 1, status: res.Status, lost: res.Lost, latency: res.Latency, elapsed: time.Since(q.Start), attempts: res.Attempts, reason: shard + ": " + res.Reason}
 	if res.Status == Served {
 		out.bodies = [][]byte{res.Reply.Body}
 		out.signatures = []string{res.Reply.Header.Get(c.config.Headers.Signature)}
@@ -242,11 +263,17 @@
 
 // queryState is the state of a running query.
 type queryState struct {
-	query          Query
-	subset         Subset
-	open           int
-	pastDue        bool
-	mayHaveRun     bool
+	query  Query
+	subset Subset
+	// shards holds the shards that have not been queried yet when gathering begins.
+	shards     []string
+	open       int
+	pastDue    bool
+	mayHaveRun bool
+	// lost is true if a server may have run the query and has not answered.
+	lost bool
+	// gate is where shards wait that want to try another server.
+	gate           *retryGate
 	bodies         [][]byte
 	signatures     []string
 	seenSignatures map[string]bool
@@ -259,7 +286,8 @@
 }
 
 func newQueryState(q Query, s Subset) *queryState {
-	return &queryState{query: q, subset: s, open: len(s.Shards), seenSignatures: make(map[string]bool, len(s.Shards))}
+	gate := newRetryGate(time.Duration(hedgeFraction * float64(q.Route.LatencyGoal)))
+	return &queryState{query: q, subset: s, shards: s.Shards, gate: gate, open: len(s.Shards), seenSignatures: make(map[string]bool, len(s.Shards))}
 }
 
 func (g *queryState) add(e shardResult) {
@@ -268,6 +296,7 @@
 	if e.status != Refused {
 		g.mayHaveRun = true
 	}
+	g.lost = g.lost || e.lost
 	if e.status != Served || len(e.signatures) < e.shards {
 		g.reason = e.reason
 	}
@@ -334,7 +363,7 @@
 }
 
 func (g *queryState) answer(failure CallStatus) Answer {
-	a := Answer{Status: failure, Missing: len(g.subset.Shards) - len(g.signatures), MedianLatency: g.medianLatency(), CompletionTime: g.completionTime(), Reason: g.reason, Attempts: g.attempts}
+	a := Answer{Status: failure, Missing: len(g.subset.Shards) - len(g.signatures), MedianLatency: g.medianLatency(), CompletionTime: g.completionTime(), Reason: g.reason, Attempts: g.attempts, Lost: g.lost || g.open > 0}
 	if len(g.signatures) >= g.subset.MinShards {
 		a.Status, a.Bodies, a.Signatures = Served, g.bodies, g.signatures
 	}
--- a/shuntcall/scatter_benchmark_test.go
+++ b/shuntcall/scatter_benchmark_test.go
@@ -23,9 +23,10 @@
 // aloneFleet is a fleet of a single VM.
 type aloneFleet struct{}
 
-func (aloneFleet) Share() float64               { return 1 }
-func (aloneFleet) IsResponsibleFor(string) bool { return true }
-func (aloneFleet) Delegates() []Delegate        { return nil }
+func (aloneFleet) Share() float64                                   { return 1 }
+func (aloneFleet) IsResponsibleFor(string) bool                     { return true }
+func (aloneFleet) Delegates() []Delegate                            { return nil }
+func (aloneFleet) InCharge(uint64, []string) (Delegate, bool, bool) { return Delegate{}, true, true }
 
 // BenchmarkScatter measures a query to 270 shards over loopback TCP, from the
 // coordinator to the sockets and back. Divide by 270 for the cost of an attempt; a
--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -40,11 +40,21 @@
 func (f fleet) Delegates() []shuntcall.Delegate {
 	var out []shuntcall.Delegate
 	for _, m := range f.Snapshot().OtherEntries() {
-		out = append(out, shuntcall.Delegate{Address: shardAddress(m.Address).String(), Region: f.regionByZone[m.Zone], Zone: m.Zone, Cores: cores(m.Capacity)})
+		out = append(out, f.delegate(m))
 	}
 	return out
 }
 
+func (f fleet) delegate(m shuntmember.Report) shuntcall.Delegate {
+	return shuntcall.Delegate{Address: shardAddress(m.Address).String(), Region: f.regionByZone[m.Zone], Zone: m.Zone, Cores: cores(m.Capacity)}
+}
+
+// InCharge implements shuntcall.Fleet.
+func (f fleet) InCharge(fingerprint uint64, regions []string) (vm shuntcall.Delegate, self, ok bool) {
+	m, self, ok := f.Snapshot().InChargeOfSuspect(fingerprint, regions)
+	return f.delegate(m), self, ok
+}
+
 // cores converts a capacity in thousandths of a core.
 func cores(capacity uint32) float64 { return float64(capacity) / 1000 }
 
@@ -66,13 +76,18 @@
 	})
 }
 
-// serveDelegated queries some of a query's shards for another VM. It declines if
+// serveDelegated queries some of a query's shards for another VM, or serves a whole request
+// for it. It declines if
 // the two VMs have different versions of the routing table, because one reply must
 // not combine shards of different versions.
 func (r *Router) serveDelegated(w http.ResponseWriter, in *http.Request) {
 	start := time.Now()
 	id := in.Header.Get(r.config.Headers.Upstream.RequestID)
 	w.Header().Set(r.config.Headers.Upstream.RequestID, id)
+	if shuntcall.IsRelayed(in.Header) {
+		r.serveRelayed(w, in, id, start)
+		return
+	}
 	d, err := shuntcall.ReadDelegated(in.Header)
 	if err != nil {
 		r.decline(w, id, err.Error())
@@ -98,6 +113,12 @@
 		r.decline(w, id, err.Error())
 		return
 	}
+	if r.caller.IsSuspect(d.Fingerprint) {
+		// The other VM does not know yet, or would not have divided the query.
+		r.caller.WriteSuspicion(w.Header(), d.Fingerprint)
+		r.decline(w, id, "suspected of crashing backend servers")
+		return
+	}
 	q := r.newRequest(in, id, start, route, table, body)
 	q.fingerprint = d.Fingerprint
 	ctx, cancel := context.WithDeadline(in.Context(), q.deadline.Add(-replyMargin))
--- a/shuntrouter/delegated_test.go
+++ b/shuntrouter/delegated_test.go
@@ -30,13 +30,15 @@
 		"no route":           {path: "/other/x", code: http.StatusServiceUnavailable},
 		"unreadable":         {path: "/all/x", change: map[string]string{"Shunt-Need": "some"}, code: http.StatusServiceUnavailable},
 		"this VM ends":       {path: "/all/x", leaving: true, code: http.StatusServiceUnavailable},
+		"a suspect":          {path: "/all/x", change: map[string]string{"Shunt-Fingerprint": "bad"}, code: http.StatusServiceUnavailable},
 	}
 	tr := newTestRouter(t, true)
+	tr.router.guard.RecordCrash(0xbad, "s", false)
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			tr.router.leaving.Store(c.leaving)
 			h, code := tr.delegate(c.path, c.change)
-			if code != c.code || h.Get("Id") != "7" {
+			if code != c.code || h.Get("Id") != "7" || (h.Get("Shunt-Suspicion") != "") != (c.change["Shunt-Fingerprint"] == "bad") {
 				t.Errorf("got %d for %q; want %d", code, h.Get("Id"), c.code)
 			}
 			if promised := h.Get("Not-Run") != ""; promised != (c.code == http.StatusServiceUnavailable) {
@@ -68,3 +70,45 @@
 	tr.router.serveDelegated(w, in)
 	return w.Header(), w.Code
 }
+
+// TestServeRelayed checks the replies to requests that another VM relays. If nothing has
+// run, the reply must say so.
+func TestServeRelayed(t *testing.T) {
+	cases := map[string]struct {
+		path    string
+		change  map[string]string
+		leaving bool
+		code    int
+	}{
+		"one service":            {path: "/one/x", code: http.StatusOK},
+		"all shards":             {path: "/all/x", code: http.StatusOK},
+		"a server's own error":   {path: "/one/error", code: http.StatusTeapot},
+		"no server":              {path: "/none/x", code: http.StatusServiceUnavailable},
+		"no route":               {path: "/other/x", code: http.StatusServiceUnavailable},
+		"unreadable fingerprint": {path: "/one/x", change: map[string]string{"Shunt-Fingerprint": "?"}, code: http.StatusServiceUnavailable},
+		"unreadable time":        {path: "/one/x", change: map[string]string{"Shunt-Elapsed-Us": "-1"}, code: http.StatusServiceUnavailable},
+		"this VM ends":           {path: "/one/x", leaving: true, code: http.StatusServiceUnavailable},
+		"in quarantine":          {path: "/one/x", change: map[string]string{"Shunt-Fingerprint": "abc", "Shunt-Suspicion": "1 100"}, code: http.StatusServiceUnavailable},
+	}
+	tr := newTestRouter(t, true)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tr.router.leaving.Store(c.leaving)
+			change := map[string]string{"Shunt-Relayed": "1", "Shunt-Elapsed-Us": "1500"}
+			maps.Copy(change, c.change)
+			h, code := tr.delegate(c.path, change)
+			if code != c.code || h.Get("Id") != "7" {
+				t.Errorf("got %d for %q; want %d", code, h.Get("Id"), c.code)
+			}
+			if promised := h.Get("Not-Run") != ""; promised != (c.code == http.StatusServiceUnavailable) {
+				t.Errorf("reply says that nothing has run: %v", promised)
+			}
+			if c.code != http.StatusOK {
+				return
+			}
+			if got := tr.lastRequest.Load(); got.Header.Get("Shunt-Relayed") != "" || got.Header.Get("Shunt-Elapsed-Us") != "" || got.Header.Get("Id") != "7" {
+				t.Errorf("the server got %v", got.Header)
+			}
+		})
+	}
+}
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -104,7 +104,7 @@
 	id := in.Header.Get(r.config.Headers.Upstream.RequestID)
 	view := r.follower.View()
 	if view.Table == nil {
-		r.replyUnavailable(w, id, "no routes are known yet")
+		r.replyUnavailable(w, id, "no routes are known yet", 0)
 		return
 	}
 	if headerBytes(in) > orDefault(view.Table.Limits().HeaderBytes, defaultHeaderBytes) {
@@ -123,20 +123,30 @@
 	q := r.newRequest(in, id, start, route, view.Table, body)
 	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
 	q.fingerprint = shuntcall.Fingerprint(caller, q.upstream)
-	admission, release := r.caller.Admit(q.fingerprint)
-	defer release()
-	if admission.Refused != "" {
-		r.replyUnavailable(w, id, admission.Refused)
-		return
-	}
-	q.suspect = admission.Suspect
 	ctx, cancel := context.WithDeadline(in.Context(), q.deadline.Add(-replyMargin))
 	defer cancel()
-	if route.Scatters() {
-		r.scatter(ctx, w, q)
-		return
+	admission, release := r.caller.Admit(q.fingerprint, route.Regions)
+	switch {
+	case admission.Refused != "":
+		r.replyUnavailable(w, id, admission.Refused, admission.RetryAfter)
+	case admission.Relay:
+		r.relay(ctx, w, q, admission.RelayTo)
+	default:
+		q.suspect = admission.Suspect
+		r.serve(ctx, w, q, release)
+	}
+}
+
+// serve serves an admitted request. It calls release when the request has ended, with
+// whether a server may have run it without answering.
+func (r *Router) serve(ctx context.Context, w http.ResponseWriter, q request, release func(lost bool)) {
+	lost := true
+	defer func() { release(lost) }()
+	if q.route.Scatters() {
+		lost = r.scatter(ctx, w, q)
+	} else {
+		lost = r.forward(ctx, w, q)
 	}
-	r.forward(ctx, w, q)
 }
 
 // newRequest returns the request to be served for in.
@@ -200,26 +210,29 @@
 	return out
 }
 
-// forward serves a request by forwarding it to one service.
-func (r *Router) forward(ctx context.Context, w http.ResponseWriter, q request) {
+// forward serves a request by forwarding it to one service. It returns whether a server
+// may have run the request without answering.
+func (r *Router) forward(ctx context.Context, w http.ResponseWriter, q request) (lost bool) {
 	name := q.route.PickService(r.splitCounters.nextPoint(q.route.Name))
 	service, ok := q.table.Service(name)
 	if !ok {
 		service = shuntroute.Service{Name: name, MaxConns: 1}
 	}
 	res := r.caller.Forward(ctx, q.route, service, q.upstream, q.fingerprint, q.suspect)
-	code := r.reply(w, q, res)
-	r.finish(q, res.Status, code, res.Attempts, 0, res.Server, res.Reason)
+	code := http.StatusOK
+	if res.HasReply {
+		code = r.reply(w, q, res.Reply)
+	} else {
+		code = r.replyFailure(w, res.Status)
+	}
+	r.finish(q, res.Status, code, res.Attempts, 0, res.Server, res.Reason, res.Lost)
+	return res.Lost
 }
 
-// reply sends the server's reply, or an error if there is none, and returns the
-// status code.
-func (r *Router) reply(w http.ResponseWriter, q request, res shuntcall.Result) int {
-	if !res.HasReply {
-		return r.replyFailure(w, res.Status)
-	}
+// reply sends a server's reply and returns its status code.
+func (r *Router) reply(w http.ResponseWriter, q request, reply shuntupstream.Reply) int {
 	h := w.Header()
-	for name, values := range res.Reply.Header {
+	for name, values := range reply.Header {
 		h[name] = values
 	}
 	for _, name := range hopByHopHeaders {
@@ -233,17 +246,18 @@
 			h[name] = nil
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(res.Reply.Body)))
-	if length := res.Reply.Header.Get("Content-Length"); q.upstream.Method == http.MethodHead && length != "" {
+	h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	if length := reply.Header.Get("Content-Length"); q.upstream.Method == http.MethodHead && length != "" {
 		h.Set("Content-Length", length)
 	}
-	w.WriteHeader(res.Reply.Code)
-	r.write(w, q.id, res.Reply.Body)
-	return res.Reply.Code
+	w.WriteHeader(reply.Code)
+	r.write(w, q.id, reply.Body)
+	return reply.Code
 }
 
-// scatter serves a query by sending it to all shards and merging their replies.
-func (r *Router) scatter(ctx context.Context, w http.ResponseWriter, q request) {
+// scatter serves a query by sending it to all shards and merging their replies. It returns
+// whether a server may have run the query without answering.
+func (r *Router) scatter(ctx context.Context, w http.ResponseWriter, q request) (lost bool) {
 	a := r.caller.Scatter(ctx, shuntcall.Query{Route: q.route, Table: q.table, Request: q.upstream, Start: q.start,
 		Fingerprint: q.fingerprint, Suspect: q.suspect, Urgent: q.route.Priority <= maxUrgentPriority, Retried: r.isRetried(q)})
 	code := http.StatusOK
@@ -252,7 +266,8 @@
 	} else {
 		code = r.replyFailure(w, a.Status)
 	}
-	r.finish(q, a.Status, code, a.Attempts, a.Missing, "", a.Reason)
+	r.finish(q, a.Status, code, a.Attempts, a.Missing, "", a.Reason, a.Lost)
+	return a.Lost
 }
 
 // isRetried reports whether the caller has probably been refused before: it then
@@ -280,7 +295,7 @@
 	code := http.StatusBadGateway
 	switch end {
 	case shuntcall.Refused:
-		w.Header().Set("Retry-After", r.retryAfter())
+		w.Header().Set("Retry-After", r.retryAfter(0))
 		code = http.StatusServiceUnavailable
 	case shuntcall.Expired:
 		code = http.StatusGatewayTimeout
@@ -290,15 +305,16 @@
 	return code
 }
 
-// retryAfter returns a delay in seconds with jitter.
-func (r *Router) retryAfter() string {
-	d := minRetryAfter + r.random.Duration(retryAfterJitter)
+// retryAfter returns a delay of at least d in seconds with jitter.
+func (r *Router) retryAfter(d time.Duration) string {
+	d = max(d, minRetryAfter) + r.random.Duration(retryAfterJitter)
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
 
 // replyUnavailable replies to a request that has not run and will not run.
-func (r *Router) replyUnavailable(w http.ResponseWriter, id, reason string) {
-	w.Header().Set("Retry-After", r.retryAfter())
+// after is how long that is so at least; 0 if that is not known.
+func (r *Router) replyUnavailable(w http.ResponseWriter, id, reason string, after time.Duration) {
+	w.Header().Set("Retry-After", r.retryAfter(after))
 	r.replyError(w, id, http.StatusServiceUnavailable, reason, 0)
 }
 
@@ -317,8 +333,8 @@
 }
 
 // finish logs and counts a request that has ended.
-func (r *Router) finish(q request, end shuntcall.CallStatus, code, attempts, missing int, server, reason string) {
-	if q.suspect && end == shuntcall.Served {
+func (r *Router) finish(q request, end shuntcall.CallStatus, code, attempts, missing int, server, reason string, lost bool) {
+	if q.suspect && end == shuntcall.Served && !lost {
 		r.caller.RecordSuccess(q.fingerprint)
 	}
 	took := time.Since(q.start)
