VMs that are about to stop serve for VMs without links, and end that before they stop

It now serves them if no entry can, and stops listening for other VMs as it does for callers: what is under way ends first, delegated shards too, which were cut before.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -52,9 +52,11 @@
 	// IsResponsibleFor reports whether this VM is the one that sends requests to a
 	// cold server.
 	IsResponsibleFor(server string) bool
-	// Delegates returns the other VMs that can gather shards or serve requests for this
-	// one.
+	// Delegates returns the other VMs that can gather shards for this one.
 	Delegates() []Delegate
+	// Helpers returns the other VMs that can serve requests for this one where it does
+	// not reach the servers itself.
+	Helpers() []Delegate
 	// OthersLostLinks reports whether other VMs have lost their links to the backend
 	// servers, and this VM may be asked to serve in their place.
 	OthersLostLinks() bool
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -85,6 +85,7 @@
 func (w *testCluster) Share() float64               { return w.share }
 func (w *testCluster) IsResponsibleFor(string) bool { return w.responsible }
 func (w *testCluster) Delegates() []Delegate        { return w.delegates }
+func (w *testCluster) Helpers() []Delegate          { return w.delegates }
 func (w *testCluster) OthersLostLinks() bool        { return w.othersLostLinks }
 func (w *testCluster) InCharge(uint64, []string) (Delegate, bool, bool) {
 	return w.inCharge, w.inCharge.Address == "", true
--- a/shuntcall/links.go
+++ b/shuntcall/links.go
@@ -244,7 +244,7 @@
 func (c *Caller) RelayTargets(route *shuntroute.Route) []Delegate {
 	var servers []shuntroute.Server
 	byAddress := map[string]Delegate{}
-	for _, d := range c.config.Fleet.Delegates() {
+	for _, d := range c.config.Fleet.Helpers() {
 		if route.Allows(d.Region) {
 			servers = append(servers, d.server())
 			byAddress[d.Address] = d
--- a/shuntcall/rate_limit_test.go
+++ b/shuntcall/rate_limit_test.go
@@ -26,6 +26,7 @@
 func (f sharingFleet) Share() float64               { return 1 / float64(f.vms) }
 func (f sharingFleet) IsResponsibleFor(string) bool { return false }
 func (f sharingFleet) Delegates() []Delegate        { return nil }
+func (sharingFleet) Helpers() []Delegate            { return nil }
 func (sharingFleet) OthersLostLinks() bool          { return false }
 func (f sharingFleet) InCharge(uint64, []string) (Delegate, bool, bool) {
 	return Delegate{}, true, true
--- a/shuntcall/scatter_benchmark_test.go
+++ b/shuntcall/scatter_benchmark_test.go
@@ -26,6 +26,7 @@
 func (aloneFleet) Share() float64                                   { return 1 }
 func (aloneFleet) IsResponsibleFor(string) bool                     { return true }
 func (aloneFleet) Delegates() []Delegate                            { return nil }
+func (aloneFleet) Helpers() []Delegate                              { return nil }
 func (aloneFleet) OthersLostLinks() bool                            { return false }
 func (aloneFleet) InCharge(uint64, []string) (Delegate, bool, bool) { return Delegate{}, true, true }
 
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -55,8 +55,10 @@
 	self netip.AddrPort
 	// regions holds the VMs of each region that are alive and not leaving, in
 	// the order of preference for callers.
-	regions  map[string][]Report
-	entries  map[netip.AddrPort]bool
+	regions map[string][]Report
+	entries map[netip.AddrPort]bool
+	// leaving holds the VMs that are alive and about to stop.
+	leaving  []Report
 	shares   shares
 	isReader bool
 	// entriesSince is since when the entries of each region have been the same.
@@ -97,6 +99,9 @@
 		switch {
 		case m.report.Leaving:
 			s.shares.leaving[m.report.Address] = true
+			if m.alive {
+				s.leaving = append(s.leaving, m.report)
+			}
 		case m.alive:
 			s.regions[region] = append(s.regions[region], m.report)
 		case now.Sub(m.lastHeard) <= shareRetention:
@@ -472,6 +477,21 @@
 	return out
 }
 
+// Helpers returns the other VMs that reach backend servers and may serve requests for
+// this one: the entries, or if none of them does, those that are leaving but still serve.
+func (s *Snapshot) Helpers() []Report {
+	out := slices.DeleteFunc(s.OtherEntries(), func(r Report) bool { return r.LinksLost })
+	if len(out) > 0 {
+		return out
+	}
+	for _, r := range s.leaving {
+		if r.Serving && !r.LinksLost && r.Address != s.self {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // NearestNewer returns the nearest VM that knows a later revision, or false if
 // there is none. Among equally near VMs it returns the one with the latest
 // revision.
--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -36,10 +36,15 @@
 	regionByZone map[string]string
 }
 
-// Delegates returns the other entries, which may query shards for this VM.
-func (f fleet) Delegates() []shuntcall.Delegate {
+// Delegates implements shuntcall.Fleet.
+func (f fleet) Delegates() []shuntcall.Delegate { return f.delegates(f.Snapshot().OtherEntries()) }
+
+// Helpers implements shuntcall.Fleet.
+func (f fleet) Helpers() []shuntcall.Delegate { return f.delegates(f.Snapshot().Helpers()) }
+
+func (f fleet) delegates(vms []shuntmember.Report) []shuntcall.Delegate {
 	var out []shuntcall.Delegate
-	for _, m := range f.Snapshot().OtherEntries() {
+	for _, m := range vms {
 		out = append(out, f.delegate(m))
 	}
 	return out
@@ -71,6 +76,7 @@
 		return
 	}
 	server := &http.Server{Handler: http.HandlerFunc(r.serveDelegated), IdleTimeout: peerIdleTimeout, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	r.peerServer.Store(server)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	r.config.Group.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -79,6 +85,15 @@
 	})
 }
 
+// StopServingPeers stops accepting requests from other VMs and waits until those under way
+// have ended, or ctx has.
+func (r *Router) StopServingPeers(ctx context.Context) error {
+	if server := r.peerServer.Load(); server != nil {
+		return errors.Trace(server.Shutdown(ctx))
+	}
+	return nil
+}
+
 // serveDelegated queries some of a query's shards for another VM, or serves a whole request
 // for it. It declines if
 // the two VMs have different versions of the routing table, because one reply must
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -91,8 +91,8 @@
 		return
 	}
 	table := r.follower.View().Table
-	if r.leaving.Load() || table == nil {
-		r.decline(w, id, "this VM ends or knows no routes")
+	if table == nil {
+		r.decline(w, id, "this VM knows no routes")
 		return
 	}
 	if r.caller.LinksLost() {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -99,7 +100,9 @@
 	metrics          *routerMetrics
 	splitCounters    splitCounters
 	conns            *callerConns
-	leaving          atomic.Bool
+	// peerServer serves requests from other VMs; nil if it could not be started.
+	peerServer atomic.Pointer[http.Server]
+	leaving    atomic.Bool
 }
 
 // New returns a Router that has not been started.
