shuntupstream: test that a reply cut anywhere, also within its head, is no reply

Reported by other operators: a server that stopped within its head and closed gave callers a 200 with a body framed as whole. It can't happen here: every prefix of replies in five framings was tried.

--- a/shuntupstream/copies_test.go
+++ b/shuntupstream/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -112,3 +113,35 @@
 		}
 	}
 }
+
+// TestTruncatedReply checks that a reply of which any part at the end is missing when the
+// server closes the connection is no reply: most of all one that ends within its head.
+func TestTruncatedReply(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: s\r\n"
+	cases := map[string]struct {
+		reply string
+		// complete is the length from which on the reply counts as complete.
+		complete int
+	}{
+		"with a length": {head + "Content-Length: 5\r\n\r\nhello", len(head + "Content-Length: 5\r\n\r\nhello")},
+		"in chunks":     {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", len(head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")},
+		// Only a reset tells that more was to come.
+		"until the end":     {head + "\r\nhello", len(head + "\r\n")},
+		"after an interim":  {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", len("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 0\r\n\r\n")},
+		"with a bare break": {"HTTP/1.1 200 OK\nId: 1\nSigned: s\nContent-Length: 5\n\nhello", len("HTTP/1.1 200 OK\nId: 1\nSigned: s\nContent-Length: 5\n\nhello")},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(c.reply) + 1 {
+				s := serve(t, func(conn net.Conn, next func() *http.Request) {
+					next()
+					_, _ = io.WriteString(conn, c.reply[:n])
+				})
+				out, _ := doWithNewPool(t, s, request("1"))
+				if complete := out.Status == Answered; complete != (n >= c.complete) {
+					t.Errorf("%d of %d bytes, up to %q: %v with %d and %q", n, len(c.reply), c.reply[max(0, n-10):n], out.Status, out.Reply.Code, out.Reply.Body)
+				}
+			}
+		})
+	}
+}
