A VM that is shutting down answers every request before it ends

From SIGTERM on, a VM refuses as not run what may not be over when it ends: a request that must not run twice if its whole time does not fit, others if twice their latency goal does not. What is under way gets its final answer 0.1 s before the end. Servers are told no more time than that.

--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -143,7 +143,7 @@
 	}
 	q := r.newRequest(in, id, start, route, table, body)
 	q.fingerprint = d.Fingerprint
-	ctx, cancel := context.WithDeadline(in.Context(), q.deadline.Add(-replyMargin))
+	ctx, cancel := r.requestContext(in, q)
 	defer cancel()
 	a := r.caller.Gather(ctx, shuntcall.Query{Route: route, Table: table, Request: q.upstream, Start: start, Fingerprint: d.Fingerprint}, subset)
 	r.replyDelegated(w, q, a)
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -30,6 +30,9 @@
 	// retriedMargin is how much shorter than the route's timeout the time left
 	// must be for a request to count as a retry by the caller.
 	retriedMargin = 30 * time.Millisecond
+	// usualGoals is the multiple of the latency goal within which a request that may be
+	// repeated is nearly always answered.
+	usualGoals = 2.0
 	// minRetryAfter and retryAfterJitter give the delay that refused callers are
 	// asked to wait. The jitter keeps them from retrying all at once.
 	minRetryAfter    = 50 * time.Millisecond
@@ -126,7 +129,11 @@
 	q := r.newRequest(in, id, start, route, view.Table, body)
 	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
 	q.fingerprint = shuntcall.Fingerprint(caller, q.upstream)
-	ctx, cancel := context.WithDeadline(in.Context(), q.deadline.Add(-replyMargin))
+	if r.endsBefore(q) {
+		r.replyUnavailable(w, id, "this VM may end before the request", 0)
+		return
+	}
+	ctx, cancel := r.requestContext(in, q)
 	defer cancel()
 	admission, release := r.caller.Admit(q.fingerprint, route.Regions)
 	switch {
@@ -172,12 +179,45 @@
 	}
 }
 
+// endsBefore reports whether this VM may end before the request. The caller can then try
+// another VM, which it could not if a request that must not run twice were cut.
+func (r *Router) endsBefore(q request) bool {
+	end := r.endsAt.Load()
+	if end == nil {
+		return false
+	}
+	need := q.deadline.Sub(q.start)
+	if usual := time.Duration(usualGoals * float64(q.route.LatencyGoal)); q.route.Idempotent && usual > 0 {
+		need = min(need, usual)
+	}
+	return time.Until(*end) < need
+}
+
+// requestContext returns a context that ends shortly before the request's deadline, or
+// when this VM ends its requests.
+func (r *Router) requestContext(in *http.Request, q request) (context.Context, context.CancelFunc) {
+	deadline := q.deadline
+	if end := r.endsAt.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
+	}
+	ctx, cancel := context.WithDeadline(in.Context(), deadline.Add(-replyMargin))
+	stop := context.AfterFunc(r.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // newRequest returns the request to be served for in.
 func (r *Router) newRequest(in *http.Request, id string, start time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte) request {
 	q := request{id: id, start: start, route: route, table: t}
 	q.deadline = r.deadline(in, route, start)
+	deadline := q.deadline
+	if end := r.endsAt.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
+	}
 	q.upstream = shuntupstream.Request{
-		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: q.deadline,
+		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: deadline,
 	}
 	return q
 }
--- a/shuntrouter/handler_test.go
+++ b/shuntrouter/handler_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -81,6 +82,13 @@
 		h.Set("Signed", r.Header.Get("For"))
 		h.Set("Kept", "yes")
 		h["Content-Type"] = nil
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			select {
+			case <-time.After(10 * time.Second):
+			case <-r.Context().Done():
+				return
+			}
+		}
 		if r.URL.Path == "/one/error" {
 			w.WriteHeader(http.StatusTeapot)
 		}
@@ -95,6 +103,7 @@
 		Services: []shuntroute.Service{{Name: "a", MaxConns: 10}, {Name: "b", MaxConns: 10}},
 		Routes: []shuntroute.Route{
 			{Name: "one", Host: "h", Prefix: "/one/", LatencyGoal: time.Second, Timeout: 5 * time.Second, MaxAttempts: 2, WeightedServices: []shuntroute.WeightedService{{Service: "a", Weight: 1}}},
+			{Name: "safe", Host: "h", Prefix: "/safe/", LatencyGoal: 100 * time.Millisecond, Timeout: 5 * time.Second, MaxAttempts: 2, Idempotent: true, WeightedServices: []shuntroute.WeightedService{{Service: "a", Weight: 1}}},
 			{Name: "all", Host: "h", Prefix: "/all/", LatencyGoal: time.Second, Timeout: 5 * time.Second, MaxAttempts: 2, Idempotent: true, Shards: []string{"a", "b", "gone"}, TopRecords: 1, MinCoverage: 0.5},
 			{Name: "none", Host: "h", Prefix: "/none/", LatencyGoal: time.Second, Timeout: 5 * time.Second, MaxAttempts: 2, WeightedServices: []shuntroute.WeightedService{{Service: "gone", Weight: 1}}},
 		},
@@ -226,7 +235,7 @@
 	if got := tr.router.EntryAddresses("h", "r"); len(got) != 1 {
 		t.Fatalf("entries %v", got)
 	}
-	tr.router.Leave()
+	tr.router.Leave(time.Minute)
 	if tr.router.Ready() {
 		t.Error("the VM is still ready")
 	}
@@ -242,6 +251,49 @@
 	t.Error("the VM is still listed as an entry")
 }
 
+// TestRequestsAtTheEnd checks that a VM that is shutting down answers every request before
+// it ends: those that may not be over by then are refused while another VM can still serve
+// them, and those under way get a final answer.
+func TestRequestsAtTheEnd(t *testing.T) {
+	const grace, late = 1500 * time.Millisecond, 700 * time.Millisecond
+	cases := map[string]struct {
+		method, path string
+		// after is when the request is sent, from the begin of the shutdown.
+		after time.Duration
+		codes []int
+	}{
+		"under way, once":             {http.MethodPost, "/one/slow", -200 * time.Millisecond, []int{http.StatusGatewayTimeout}},
+		"under way, repeatable":       {http.MethodGet, "/safe/slow", -200 * time.Millisecond, []int{http.StatusGatewayTimeout}},
+		"under way, all shards":       {http.MethodGet, "/all/slow", -200 * time.Millisecond, []int{http.StatusGatewayTimeout}},
+		"late, once":                  {http.MethodPost, "/one/slow", late, []int{http.StatusServiceUnavailable}},
+		"late, repeatable":            {http.MethodGet, "/safe/slow", late, []int{http.StatusGatewayTimeout}},
+		"late, repeatable and fast":   {http.MethodGet, "/safe/x", late, []int{http.StatusOK}},
+		"too late for anything":       {http.MethodGet, "/safe/x", grace - 150*time.Millisecond, []int{http.StatusServiceUnavailable}},
+		"late, all shards, goal far":  {http.MethodGet, "/all/x", late, []int{http.StatusServiceUnavailable}},
+		"early, all shards, and fast": {http.MethodGet, "/all/x", 0, []int{http.StatusOK, http.StatusServiceUnavailable}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tr := newTestRouter(t, true)
+			begin := time.Now().Add(max(0, -c.after))
+			leave := time.AfterFunc(time.Until(begin), func() { tr.router.Leave(grace) })
+			defer leave.Stop()
+			time.Sleep(time.Until(begin.Add(c.after)))
+			resp, _ := tr.do(t, c.method, c.path, "")
+			if left := grace - time.Since(begin); left < 0 {
+				t.Errorf("answered %v after the end", -left)
+			}
+			if !slices.Contains(c.codes, resp.StatusCode) {
+				t.Errorf("got %d; want %v", resp.StatusCode, c.codes)
+			}
+			if resp.StatusCode == http.StatusServiceUnavailable && (resp.Header.Get("Retry-After") == "" || !resp.Close) {
+				t.Errorf("refused with %v, close %v", resp.Header, resp.Close)
+			}
+		})
+	}
+}
+
 // TestNoTable checks that a VM without a routing table replies 503 rather than
 // 404.
 func TestNoTable(t *testing.T) {
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -112,7 +112,11 @@
 	q.deadline = q.deadline.Add(relayed.Elapsed)
 	q.upstream.Deadline = q.deadline
 	q.fingerprint = relayed.Fingerprint
-	ctx, cancel := context.WithDeadline(in.Context(), q.deadline.Add(-replyMargin))
+	if r.endsBefore(q) {
+		r.decline(w, id, "this VM may end before the request")
+		return
+	}
+	ctx, cancel := r.requestContext(in, q)
 	defer cancel()
 	admission, release := r.caller.AdmitRelayed(relayed, route.Regions)
 	if admission.Refused != "" {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -27,6 +27,10 @@
 // discarded, the load is published and missing connections are opened.
 const maintenanceInterval = time.Second
 
+// finalAnswerTime is how long before the end of a shutdown the requests under way are
+// ended, to leave time for their answers.
+const finalAnswerTime = 100 * time.Millisecond
+
 // replyMemoryFraction is the fraction of the memory limit that replies of backend
 // servers may take while they are read, and those of other VMs likewise.
 const replyMemoryFraction = 1.0 / 8
@@ -103,6 +107,11 @@
 	// peerServer serves requests from other VMs; nil if it could not be started.
 	peerServer atomic.Pointer[http.Server]
 	leaving    atomic.Bool
+	// endsAt is when requests under way are ended, once the VM is leaving. ending is done
+	// then.
+	endsAt      atomic.Pointer[time.Time]
+	ending      context.Context
+	endRequests context.CancelFunc
 }
 
 // New returns a Router that has not been started.
@@ -124,6 +133,7 @@
 		conns:            newCallerConns(),
 	}
 	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
+	r.ending, r.endRequests = context.WithCancel(context.Background())
 	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }})
 	registerGauges(c.Metrics, r)
 	r.node = shuntmember.NewNode(shuntmember.Config{
@@ -169,6 +179,7 @@
 	})
 	r.config.Group.Go(func() { r.enforceLimits(ctx) })
 	r.listenDelegated(ctx)
+	context.AfterFunc(ctx, r.endRequests)
 	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.PeerAddress)
 	return nil
 }
@@ -243,10 +254,15 @@
 // Ready reports whether callers may be sent to this VM.
 func (r *Router) Ready() bool { return !r.leaving.Load() && r.follower.View().Table != nil }
 
-// Leave marks this VM as no longer ready and tells the other VMs.
-func (r *Router) Leave() {
+// Leave marks this VM as no longer ready and tells the other VMs. Requests that are still
+// under way shortly before grace has passed get a final answer then, and from now on those
+// that may take longer are refused.
+func (r *Router) Leave(grace time.Duration) {
+	end := time.Now().Add(grace - finalAnswerTime)
+	r.endsAt.Store(&end)
 	r.leaving.Store(true)
 	r.node.Update(func(m *shuntmember.MemberList) { m.SetLeaving() })
+	time.AfterFunc(time.Until(end), r.endRequests)
 }
 
 // EntryAddresses returns the addresses of the VMs to which callers in the region
