--- a/shuntbalance/rate_limiter.go
+++ b/shuntbalance/rate_limiter.go
@@ -147,16 +147,24 @@
 	}
 }
 
-// Available reports whether a request may be sent to the server, without counting it.
-func (l *RateLimiter) Available(s shuntroute.Server) bool {
+// AvailableAt returns when a request may be sent to the server: now, or when its limit
+// allows the next one.
+func (l *RateLimiter) AvailableAt(s shuntroute.Server, now time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.servers[IncarnationOf(s)]
 	if r == nil {
-		return true
+		return now
 	}
-	l.refill(r, time.Now())
-	return r.tokens >= 1
+	l.refill(r, now)
+	if r.tokens >= 1 {
+		return now
+	}
+	rate := l.rate(r, now)
+	if rate <= 0 {
+		return now.Add(grantDuration)
+	}
+	return now.Add(time.Duration((1 - r.tokens) / rate * float64(time.Second)))
 }
 
 // Want records a request that would have been sent to the server but for its limit.
--- a/shuntbalance/rate_limiter_test.go
+++ b/shuntbalance/rate_limiter_test.go
@@ -90,7 +90,7 @@
 		l := NewRateLimiter(RateLimiterConfig{Share: func() float64 { return 1 }})
 		l.Limit(limitedTestServer, 1)
 		time.Sleep(time.Second)
-		if !l.Available(limitedTestServer) || !l.Take(limitedTestServer) || l.Take(limitedTestServer) {
+		if l.AvailableAt(limitedTestServer, time.Now()).After(time.Now()) || !l.Take(limitedTestServer) || l.Take(limitedTestServer) {
 			t.Fatal("want one request allowed after a second")
 		}
 		l.Refund(limitedTestServer)
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -86,6 +86,8 @@
 	// Links tells whether this VM reaches servers at all. It learns of all connections
 	// that Pool opens.
 	Links *shuntbalance.Links
+	// Notices holds what servers say of themselves.
+	Notices *shuntbalance.Notices
 	// Throttle limits queries to overloaded indexes.
 	Throttle *shuntbalance.Throttle
 	Fleet    Fleet
@@ -184,6 +186,8 @@
 	// Unreachable is true if the request was refused only because this VM reached no
 	// server. Others may.
 	Unreachable bool
+	// RetryAt is when a refused request may be served; zero if that is not known.
+	RetryAt time.Time
 }
 
 type attemptResult struct {
@@ -289,7 +293,7 @@
 		return
 	}
 	if !r.takeBudget(hedgeReserve) {
-		r.caller.config.RateLimiter.Refund(s)
+		r.giveBack(s)
 		return
 	}
 	r.launch(whyHedge, s)
@@ -369,7 +373,7 @@
 	s, ok := r.choose(true)
 	mayRetry := (e.outcome.Status != shuntupstream.Broken || r.enterGate()) && (free || r.takeBudget(0))
 	if ok && !mayRetry {
-		r.caller.config.RateLimiter.Refund(s)
+		r.giveBack(s)
 	}
 	if !mayRetry {
 		return false
@@ -428,41 +432,31 @@
 		r.results <- result
 	}) {
 		r.open--
+		r.giveBack(s)
 		return false
 	}
 	return true
 }
 
-// choose returns the best remaining server whose rate limit allows the request: a warm
-// one or, if there is none, a cold one. reachable excludes servers that were recently
-// unreachable. The request counts for the limits of the server that is returned.
+// choose returns the best remaining server whose limits allow the request, of the class
+// that is asked most readily. reachable excludes servers that were recently unreachable.
+// The request counts for the limits of the server that is returned.
 func (r *call) choose(reachable bool) (shuntroute.Server, bool) {
-	c := r.caller.config
-	now := time.Now()
-	all := c.View().Servers(r.call.Service.Name)
-	warm := make([]shuntroute.Server, 0, len(all))
-	var cold []shuntroute.Server
-	for _, s := range all {
-		switch {
-		case !r.call.Route.Allows(s.Region):
-		case !s.Cold(now):
-			warm = append(warm, s)
-		case c.Fleet.IsResponsibleFor(s.ID):
-			cold = append(cold, s)
+	classes := r.caller.byClass(r.call.Route, r.call.Service.Name)
+	for class, servers := range classes[:unusable] {
+		if s, ok := r.chooseAllowed(servers, serverClass(class), reachable); ok {
+			return s, true
 		}
 	}
-	if s, ok := r.chooseAllowed(warm, false, reachable); ok {
-		return s, true
-	}
-	return r.chooseAllowed(cold, true, reachable)
+	return shuntroute.Server{}, false
 }
 
 // chooseAllowed returns the best remaining server whose limits allow the request.
-func (r *call) chooseAllowed(servers []shuntroute.Server, cold, reachable bool) (shuntroute.Server, bool) {
+func (r *call) chooseAllowed(servers []shuntroute.Server, class serverClass, reachable bool) (shuntroute.Server, bool) {
 	exclude := r.tried
 	for {
 		s, ok := r.caller.config.Balancer.Choose(servers, shuntbalance.ChooseOptions{Exclude: exclude, Reachable: reachable})
-		if !ok || r.take(s, cold) {
+		if !ok || r.take(s, class) {
 			return s, ok
 		}
 		exclude = append(slices.Clone(exclude), shuntbalance.IncarnationOf(s))
@@ -470,21 +464,35 @@
 }
 
 // take reports whether the server's limits allow the request, and if so counts it.
-func (r *call) take(s shuntroute.Server, cold bool) bool {
+func (r *call) take(s shuntroute.Server, class serverClass) bool {
 	c := r.caller.config
+	id := shuntbalance.IncarnationOf(s)
 	if !c.RateLimiter.Take(s) {
 		c.Metrics.HeldBack.Inc()
 		return false
 	}
-	if cold && !c.ColdLimiter.Allow(shuntbalance.IncarnationOf(s), c.ColdRate(r.call.Service)) {
-		c.RateLimiter.Refund(s)
-		return false
+	// A leaving server may be cold too.
+	cold := class == coldOwn || (class == leaving && s.Cold(time.Now()))
+	switch {
+	case cold && !c.ColdLimiter.Allow(id, c.ColdRate(r.call.Service)):
+	case !c.Notices.Take(id):
+	case r.call.SingleServer && !c.CrashDetector.BeginTrial(s.ID):
+		c.Notices.End(id, false)
+	default:
+		return true
 	}
-	if r.call.SingleServer && !c.CrashDetector.BeginTrial(s.ID) {
-		c.RateLimiter.Refund(s)
-		return false
+	c.RateLimiter.Refund(s)
+	return false
+}
+
+// giveBack takes back a request that take has counted and that was not sent.
+func (r *call) giveBack(s shuntroute.Server) {
+	c := r.caller.config
+	c.RateLimiter.Refund(s)
+	c.Notices.End(shuntbalance.IncarnationOf(s), false)
+	if r.call.SingleServer {
+		c.CrashDetector.EndTrial(s.ID)
 	}
-	return true
 }
 
 func (c *Caller) attempt(ctx context.Context, in Call, s shuntroute.Server) attemptResult {
@@ -495,13 +503,20 @@
 	to := shuntupstream.Server{ID: s.ID, Address: s.Address, MaxConns: max(1, int(share)), CloseAfterUse: share < 1,
 		MaxWait: time.Duration(connWaitFraction * float64(in.Route.LatencyGoal))}
 	o := c.config.Pool.Do(ctx, to, in.Route.Idempotent, in.Request)
-	if o.Status == shuntupstream.NotSent || o.Status == shuntupstream.NoRoom {
+	sent := o.Status != shuntupstream.NotSent && o.Status != shuntupstream.NoRoom
+	if !sent {
 		c.config.RateLimiter.Refund(s)
 	}
+	result := balancerResult(ctx, o)
+	if c.observeNotices(s, o, started) {
+		// The pause is enough; after it the server is as good as before.
+		result = shuntbalance.Inconclusive
+	}
+	c.config.Notices.End(shuntbalance.IncarnationOf(s), sent)
 	if in.SingleServer {
 		c.config.CrashDetector.EndTrial(s.ID)
 	}
-	c.config.Balancer.End(s, a, balancerResult(ctx, o))
+	c.config.Balancer.End(s, a, result)
 	c.detectCrash(ctx, in, s, o, started)
 	c.observeLimit(s, o)
 	c.config.Metrics.attempt(o, time.Since(started))
@@ -525,6 +540,24 @@
 	}
 }
 
+// observeNotices records whether the server says that it is leaving, or wants no requests
+// for a time, which it returns. An answer from another server at the same address says
+// nothing about it.
+func (c *Caller) observeNotices(s shuntroute.Server, o shuntupstream.Outcome, begun time.Time) (paused bool) {
+	if o.Status != shuntupstream.Answered && o.Status != shuntupstream.Declined {
+		return false
+	}
+	c.config.Notices.Answered(s, begun, o.Reply.Leaving(c.config.Headers))
+	d, asked, err := o.Reply.Pause()
+	if err != nil {
+		c.config.Notices.Misunderstood(s, err)
+	}
+	if asked {
+		c.config.Notices.Pause(s, d)
+	}
+	return asked
+}
+
 // balancerResult returns what the outcome of an exchange says about the server. ctx is
 // that of the exchange.
 func balancerResult(ctx context.Context, o shuntupstream.Outcome) shuntbalance.Result {
@@ -557,6 +590,7 @@
 	switch {
 	case r.open == 0 && r.mayHaveRun == 0:
 		res.Status = Refused
+		res.RetryAt = r.caller.stateOf(r.call.Route, r.call.Service.Name, r.caller.config.Balancer.Down).until
 		res.Unreachable = r.unreachable && r.ctx.Err() == nil
 	case r.ctx.Err() != nil:
 		res.Status = Expired
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -23,7 +23,10 @@
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
 
-var testHeaders = shuntupstream.Headers{RequestID: "Id", Deadline: "Left", Instance: "For", NotRun: "Not-Run", Signature: "Signed", RateLimit: "Rate"}
+var testHeaders = shuntupstream.Headers{RequestID: "Id", Deadline: "Left", Instance: "For", NotRun: "Not-Run", Signature: "Signed", RateLimit: "Rate", Leaving: "Leaving"}
+
+// testDrainTime is how long a leaving server may get requests.
+const testDrainTime = 3 * time.Second
 
 // behavior configures how a fake server responds.
 type behavior struct {
@@ -136,6 +139,7 @@
 		ColdLimiter:      shuntbalance.NewColdLimiter(),
 		RateLimiter:      shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: f.Share}),
 		Throttle:         shuntbalance.NewThrottle(),
+		Notices:          shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: testDrainTime}),
 		Fleet:            f,
 		Group:            &w.group,
 		View:             func() *shuntroute.View { return w.view },
--- a/shuntcall/delegate.go
+++ b/shuntcall/delegate.go
@@ -93,7 +93,7 @@
 func (c *Caller) reachableZone(service, region string) (zone string, ok bool) {
 	now := time.Now()
 	for _, s := range c.config.View().Servers(service) {
-		if s.Region != region || s.Cold(now) || !s.DelistedAt.IsZero() || c.config.Balancer.RecentlyUnreachable(s) {
+		if s.Region != region || !c.isWarm(s, now) {
 			continue
 		}
 		if zone, ok = s.Zone, true; zone == c.config.Self.Zone {
--- a/shuntcall/forward.go
+++ b/shuntcall/forward.go
@@ -15,7 +15,7 @@
 // Forward sends the request to one server of the service.
 func (c *Caller) Forward(ctx context.Context, route *shuntroute.Route, service shuntroute.Service, r shuntupstream.Request, fingerprint uint64, suspect bool) Result {
 	if isDown, relied := c.downWhileRelayed(service.Name); relied {
-		if _, down := c.askable(route, service.Name, isDown); down {
+		if c.stateOf(route, service.Name, isDown).down {
 			return Result{Status: Refused, Reason: "this VM reaches no backend server", Unreachable: true}
 		}
 	}
--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
@@ -106,7 +108,7 @@
 // checkCrash finds out whether a server that has lost requests has crashed: it can't be
 // reached, while other servers can, both before and after.
 func (c *Caller) checkCrash(s shuntroute.Server) {
-	if !c.config.CrashDetector.BeginCheck(s.ID) {
+	if c.endsAsPlanned(s) || !c.config.CrashDetector.BeginCheck(s.ID) {
 		return
 	}
 	if !c.config.Group.Go(func() { c.endCheck(s, c.hasCrashed(context.Background(), s)) }) {
@@ -114,6 +116,17 @@
 	}
 }
 
+// endsAsPlanned reports whether the server drains or leaves, so that its end is no crash.
+func (c *Caller) endsAsPlanned(s shuntroute.Server) bool {
+	said, why, _ := c.config.Notices.Standing(shuntbalance.IncarnationOf(s))
+	if said != shuntbalance.Open && why == shuntbalance.WhyLeaving {
+		return true
+	}
+	return !slices.ContainsFunc(c.config.View().Servers(s.Service), func(o shuntroute.Server) bool {
+		return o.ID == s.ID && o.DelistedAt.IsZero()
+	})
+}
+
 func (c *Caller) hasCrashed(ctx context.Context, s shuntroute.Server) bool {
 	begun := time.Now()
 	err := c.connect(ctx, s)
--- a/shuntcall/links.go
+++ b/shuntcall/links.go
@@ -97,8 +97,12 @@
 	return err
 }
 
-// EnsureConnected opens a connection to the server if there is none.
+// EnsureConnected opens a connection to the server if there is none, and the server may get
+// requests.
 func (c *Caller) EnsureConnected(ctx context.Context, s shuntroute.Server) error {
+	if !c.isWarm(s, time.Now()) {
+		return nil
+	}
 	begun := time.Now()
 	tried, err := c.config.Pool.EnsureConnected(ctx, poolServer(s))
 	if tried {
@@ -211,7 +215,8 @@
 func (c *Caller) serversToProbe() []shuntroute.Server {
 	byZone := map[string][]shuntroute.Server{}
 	for s := range c.config.View().All() {
-		if s.DelistedAt.IsZero() {
+		said, _, _ := c.config.Notices.Standing(shuntbalance.IncarnationOf(s))
+		if s.DelistedAt.IsZero() && said == shuntbalance.Open {
 			byZone[s.Zone] = append(byZone[s.Zone], s)
 		}
 	}
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -77,6 +77,8 @@
 	// Unreachable is true if the query was refused only because this VM does not reach the
 	// servers of too many shards. Others may.
 	Unreachable bool
+	// RetryAt is when a refused query may be answered; zero if that is not known.
+	RetryAt time.Time
 }
 
 // shardResult is the result of one or several shards.
@@ -118,7 +120,7 @@
 func (c *Caller) tryFirstShard(ctx context.Context, q Query, g *queryState) bool {
 	isDown := c.isDown(q.index())
 	for i, shard := range g.shards {
-		if ok, _ := c.askable(q.Route, shard, isDown); ok {
+		if c.stateOf(q.Route, shard, isDown).askable {
 			e := c.askShard(ctx, q, g.gate, shard)
 			g.add(e)
 			g.shards = slices.Delete(slices.Clone(g.shards), i, i+1)
@@ -186,47 +188,33 @@
 func (c *Caller) refuseUnservable(q Query, s Subset) (Answer, bool) {
 	missing, unreachable := 0, 0
 	reason := ""
+	var times []time.Time
 	isDown := c.isDown(q.index())
 	for _, shard := range s.Shards {
-		askable, down := c.askable(q.Route, shard, isDown)
-		if askable {
+		state := c.stateOf(q.Route, shard, isDown)
+		if state.askable {
 			continue
 		}
 		missing++
 		reason = shard + ": no backend server can be asked"
-		if down {
+		if state.down {
 			unreachable++
 		}
+		if !state.until.IsZero() {
+			times = append(times, state.until)
+		}
 	}
-	if len(s.Shards)-missing >= s.MinShards {
+	lacking := s.MinShards - (len(s.Shards) - missing)
+	if lacking <= 0 {
 		return Answer{}, false
 	}
 	c.recordDemand(q, s.Shards)
-	return Answer{Status: Refused, Missing: len(s.Shards), Reason: reason, Unreachable: len(s.Shards)-missing+unreachable >= s.MinShards}, true
-}
-
-// askable reports whether the shard has a server that may be asked: one that is
-// allowed, not known to be down, warm or in this VM's charge, and within its rate limit.
-// If another server of the shard is held back by its limit, one that was recently
-// unreachable does not count either: with nothing to fall back on, trying it again
-// would cost the whole query. down is true if there is none only because servers are down
-// or can't be reached.
-func (c *Caller) askable(route *shuntroute.Route, shard string, isDown func(shuntroute.Server) bool) (ok, down bool) {
-	now := time.Now()
-	var candidates []shuntroute.Server
-	limited := false
-	for _, v := range c.config.View().Servers(shard) {
-		switch {
-		case !route.Allows(v.Region) || (v.Cold(now) && !c.config.Fleet.IsResponsibleFor(v.ID)):
-		case !c.config.RateLimiter.Available(v):
-			isDown = c.config.Balancer.RecentlyUnreachable
-			limited = true
-		default:
-			candidates = append(candidates, v)
-		}
+	out := Answer{Status: Refused, Missing: len(s.Shards), Reason: reason, Unreachable: unreachable >= lacking}
+	if len(times) >= lacking {
+		slices.SortFunc(times, time.Time.Compare)
+		out.RetryAt = times[lacking-1]
 	}
-	ok = slices.ContainsFunc(candidates, func(v shuntroute.Server) bool { return !isDown(v) })
-	return ok, !ok && !limited && len(candidates) > 0
+	return out, true
 }
 
 // recordDemand records that the shards' servers would have been asked but for their
--- a/shuntcall/scatter_benchmark_test.go
+++ b/shuntcall/scatter_benchmark_test.go
@@ -63,7 +63,7 @@
 		DelegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: "here"}),
 		Budget:           shuntbalance.NewRetryBudget(shuntbalance.RetryBudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: aloneFleet{}.Share}),
 		RateLimiter:      shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: aloneFleet{}.Share}),
-		ColdLimiter:      shuntbalance.NewColdLimiter(), Throttle: shuntbalance.NewThrottle(), Fleet: aloneFleet{}, Group: &group,
+		ColdLimiter:      shuntbalance.NewColdLimiter(), Throttle: shuntbalance.NewThrottle(), Notices: shuntbalance.NewNotices(shuntbalance.NoticesConfig{}), Fleet: aloneFleet{}, Group: &group,
 		View: func() *shuntroute.View { return view }, ColdRate: func(shuntroute.Service) float64 { return 5 }, Headers: headers,
 		Metrics: NewMetrics(metrics.NewSet()), Guard: shuntguard.New(shuntguard.Config{}), CrashDetector: shuntguard.NewCrashDetector(),
 	})
--- a/shuntmember/fuzz_test.go
+++ b/shuntmember/fuzz_test.go
@@ -28,21 +28,24 @@
 	})
 }
 
-// FuzzSuspicions checks the same of suspicions, and that a guard bears any of them.
-func FuzzSuspicions(f *testing.F) {
-	f.Add(encodeSuspicions([]shuntguard.Suspicion{{Fingerprint: 7, Strikes: 2, Age: 3 * time.Second, Episodes: []uint32{1, 2}}, {Fingerprint: 8}}))
+// FuzzNews checks the same of suspicions and of servers that are leaving, and that the
+// tables bear any of them.
+func FuzzNews(f *testing.F) {
+	guard, notices := shuntguard.New(shuntguard.Config{}), shuntbalance.NewNotices(shuntbalance.NoticesConfig{})
+	suspicions := newSuspicionExchange(guard, nil)
+	leaving := newLeavingExchange(notices, nil)
+	f.Add(suspicions.datagram([]shuntguard.Suspicion{{Fingerprint: 7, Strikes: 2, Age: 3 * time.Second, Episodes: []uint32{1, 2}}, {Fingerprint: 8}}))
+	f.Add(leaving.datagram([]shuntbalance.LeavingHint{{Server: shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}, Age: time.Second}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		guard := shuntguard.New(shuntguard.Config{})
-		x := suspicionExchange{table: guard}
-		if ok, err := x.handle(b); !ok || err != nil {
-			return
-		}
-		r := &reader{rest: b[1:]}
-		again := encodeSuspicions(readAll(r, (*reader).briefSuspicion))
-		r = &reader{rest: again[1:]}
-		if in := readAll(r, (*reader).briefSuspicion); r.err != nil || !bytes.Equal(encodeSuspicions(in), again) {
-			t.Errorf("%x is not the same again: %v", again, r.err)
+		for _, handle := range []func([]byte) (bool, error){suspicions.handle, leaving.handle} {
+			if _, err := handle(b); err != nil {
+				return
+			}
 		}
+		in := &reader{rest: b[min(1, len(b)):]}
+		roundTrip(t, readAll(in, (*reader).briefSuspicion), in.err, appendSuspicion, (*reader).briefSuspicion)
+		in = &reader{rest: b[min(1, len(b)):]}
+		roundTrip(t, readAll(in, (*reader).leaving), in.err, appendLeaving, (*reader).leaving)
 	})
 }
 
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -401,6 +401,7 @@
 				return []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 7, 1}), 17360)}
 			},
 			Guard:      shuntguard.New(shuntguard.Config{}),
+			Notices:    shuntbalance.NewNotices(shuntbalance.NoticesConfig{}),
 			RateLimits: shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}),
 			ChangesSince: func(int64) shuntcatalog.Delta {
 				return shuntcatalog.Delta{State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{{Key: "k", Revision: 9, Value: []byte("v")}}}}
--- /dev/null
+++ b/shuntmember/news.go
@@ -0,0 +1,134 @@
+package shuntmember
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+const (
+	// newsInterval is the time between two datagrams with news.
+	newsInterval = 100 * time.Millisecond
+	// newsFanout is the number of VMs, of any region, that get news at once. Those that
+	// learn something pass it on in the same way.
+	newsFanout = 4
+)
+
+// NewsTable holds things that VMs tell each other as soon as one of them learns them.
+type NewsTable[T any] interface {
+	// Export returns things for another VM, News those that it may not know yet.
+	Export(limit int) []T
+	News(limit int) []T
+	Merge(in []T)
+}
+
+// newsExchange spreads the contents of a table among the VMs.
+type newsExchange[T any] struct {
+	// version is the first byte of the datagrams.
+	version byte
+	table   NewsTable[T]
+	encode  func(b []byte, v T) []byte
+	decode  func(r *reader) T
+	// maxNews is the maximum number of things in a datagram with news, maxTold that in one
+	// that goes out with each heartbeat, and maxJoin that in the answer to a VM that has
+	// just started.
+	maxNews, maxTold, maxJoin int
+	snapshot                  func() *Snapshot
+	// sample returns up to count random VMs.
+	sample func(from []netip.AddrPort, count int) []netip.AddrPort
+	send   func(b []byte, to netip.AddrPort)
+	// addressee returns a VM that must learn of a thing in any case; it may be nil.
+	addressee func(v T) (netip.AddrPort, bool)
+	// news is signalled when there is news.
+	news chan struct{}
+}
+
+// signal makes the exchange tell the other VMs soon.
+func (x *newsExchange[T]) signal() {
+	select {
+	case x.news <- struct{}{}:
+	default:
+		// A signal is pending.
+	}
+}
+
+// run tells other VMs of news until ctx ends.
+func (x *newsExchange[T]) run(ctx context.Context) {
+	for {
+		select {
+		case <-x.news:
+		case <-ctx.Done():
+			return
+		}
+		for x.tellNews() {
+			t := time.NewTimer(newsInterval)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				t.Stop()
+				return
+			}
+		}
+	}
+}
+
+// tellNews sends one datagram with news to some VMs. It returns false if there is none.
+func (x *newsExchange[T]) tellNews() bool {
+	news := x.table.News(x.maxNews)
+	if len(news) == 0 {
+		return false
+	}
+	b := x.datagram(news)
+	for _, vm := range x.sample(x.snapshot().others(), newsFanout) {
+		x.send(b, vm)
+	}
+	for _, v := range news {
+		if x.addressee == nil {
+			break
+		}
+		if vm, ok := x.addressee(v); ok {
+			x.send(x.datagram([]T{v}), vm)
+		}
+	}
+	return true
+}
+
+// tell sends up to limit things to the VMs, if there are any.
+func (x *newsExchange[T]) tell(to []netip.AddrPort, limit int) {
+	if len(to) == 0 {
+		return
+	}
+	things := x.table.Export(limit)
+	if len(things) == 0 {
+		return
+	}
+	b := x.datagram(things)
+	for _, vm := range to {
+		x.send(b, vm)
+	}
+}
+
+// datagram encodes as many of the things as fit.
+func (x *newsExchange[T]) datagram(things []T) []byte {
+	b := []byte{x.version}
+	for _, v := range things {
+		e := x.encode(nil, v)
+		if len(b)+len(e) > maxDatagram {
+			break
+		}
+		b = append(b, e...)
+	}
+	return b
+}
+
+// handle handles a datagram. It returns false if it is of another kind.
+func (x *newsExchange[T]) handle(b []byte) (ok bool, err error) {
+	if len(b) == 0 || b[0] != x.version {
+		return false, nil
+	}
+	r := &reader{rest: b[1:]}
+	if in := readAll(r, x.decode); r.err == nil {
+		x.table.Merge(in)
+	}
+	return true, r.err
+}
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -62,7 +62,9 @@
 	Random *shuntrandom.Source
 	// Guard provides and receives the suspicions that are exchanged with the
 	// reports.
-	Guard SuspicionTable
+	Guard NewsTable[shuntguard.Suspicion]
+	// Notices provides and receives the backend servers that are leaving.
+	Notices NewsTable[shuntbalance.LeavingHint]
 	// RateLimits holds the limits of backend servers that this VM divides with others.
 	RateLimits RateLimits
 	// ChangesSince returns the changes after a revision that this VM knows of.
@@ -73,7 +75,8 @@
 type Node struct {
 	config     Config
 	limits     *limitExchange
-	suspicions *suspicionExchange
+	suspicions *newsExchange[shuntguard.Suspicion]
+	leaving    *newsExchange[shuntbalance.LeavingHint]
 	updates    chan func(*MemberList)
 	snapshot   atomic.Pointer[Snapshot]
 	socket     *net.UDPConn
@@ -85,7 +88,10 @@
 	n := &Node{config: c, updates: make(chan func(*MemberList), 64)}
 	sendTo := func(b []byte, to netip.AddrPort) { n.send(b, []netip.AddrPort{to}) }
 	n.limits = &limitExchange{self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot, send: sendTo}
-	n.suspicions = &suspicionExchange{table: c.Guard, snapshot: n.Snapshot, sample: n.sample, send: sendTo, news: make(chan struct{}, 1)}
+	n.suspicions = newSuspicionExchange(c.Guard, n.Snapshot)
+	n.suspicions.sample, n.suspicions.send = n.sample, sendTo
+	n.leaving = newLeavingExchange(c.Notices, n.Snapshot)
+	n.leaving.sample, n.leaving.send = n.sample, sendTo
 	n.snapshot.Store(n.newMemberList().Snapshot(time.Now(), false))
 	return n
 }
@@ -123,11 +129,18 @@
 	n.config.Group.Go(func() { n.receive(ctx) })
 	n.config.Group.Go(func() { n.run(ctx) })
 	n.config.Group.Go(func() { n.claimLimits(ctx) })
-	n.config.Group.Go(func() { n.spreadNews(ctx) })
+	n.config.Group.Go(func() { n.suspicions.run(ctx) })
+	n.config.Group.Go(func() { n.leaving.run(ctx) })
 	n.config.Group.Go(func() { n.serveState(ctx) })
 	return nil
 }
 
+// SuspicionsChanged makes the node tell the other VMs soon which requests are suspects.
+func (n *Node) SuspicionsChanged() { n.suspicions.signal() }
+
+// LeavingChanged makes the node tell the other VMs soon which servers are leaving.
+func (n *Node) LeavingChanged() { n.leaving.signal() }
+
 // Update applies u, which changes this VM's own report, to the member list.
 // Changes that are urgent are sent immediately. If too many updates are queued,
 // u is dropped.
@@ -189,7 +202,8 @@
 func (n *Node) sendReports(l *MemberList, heartbeats int, urgent bool) {
 	targets := n.targets(l, heartbeats, urgent)
 	n.send(n.encodeReports(l), targets)
-	n.suspicions.tell(targets, maxSuspicions)
+	n.suspicions.tell(targets, n.suspicions.maxTold)
+	n.leaving.tell(targets, n.leaving.maxTold)
 }
 
 func (n *Node) encodeReports(l *MemberList) []byte {
@@ -256,6 +270,9 @@
 	if !handled {
 		handled, err = n.suspicions.handle(b)
 	}
+	if !handled {
+		handled, err = n.leaving.handle(b)
+	}
 	var suspicions []shuntguard.Suspicion
 	var reports []Report
 	if !handled {
@@ -283,6 +300,7 @@
 	if joins {
 		to := []netip.AddrPort{reports[0].Address}
 		n.send(n.encodeReports(l), to)
-		n.suspicions.tell(to, maxJoinSuspicions)
+		n.suspicions.tell(to, n.suspicions.maxJoin)
+		n.leaving.tell(to, n.leaving.maxJoin)
 	}
 }
--- a/shuntmember/suspicions_test.go
+++ b/shuntmember/suspicions_test.go
@@ -43,7 +43,7 @@
 type suspicionVM struct {
 	address  netip.AddrPort
 	guard    *shuntguard.Guard
-	exchange *suspicionExchange
+	exchange *newsExchange[shuntguard.Suspicion]
 	// news is true while the VM has news that it has not told.
 	news bool
 	// servesAt is when the VM knows the routes.
@@ -67,17 +67,15 @@
 	v := f.vms[i]
 	v.servesAt = time.Now().Add(listingTime)
 	v.guard = shuntguard.New(shuntguard.Config{Random: shuntrandom.New(f.random.Uint64() | 1), OnNews: func() { v.news = true }})
-	v.exchange = &suspicionExchange{
-		table: v.guard, snapshot: func() *Snapshot { return f.snapshot(i) },
-		sample: func(from []netip.AddrPort, count int) []netip.AddrPort {
-			out := make([]netip.AddrPort, 0, count)
-			for range min(count, len(from)) {
-				out = append(out, from[f.random.IntN(len(from))])
-			}
-			return out
-		},
-		send: func(b []byte, to netip.AddrPort) { f.deliver(i, b, to) },
+	v.exchange = newSuspicionExchange(v.guard, func() *Snapshot { return f.snapshot(i) })
+	v.exchange.sample = func(from []netip.AddrPort, count int) []netip.AddrPort {
+		out := make([]netip.AddrPort, 0, count)
+		for range min(count, len(from)) {
+			out = append(out, from[f.random.IntN(len(from))])
+		}
+		return out
 	}
+	v.exchange.send = func(b []byte, to netip.AddrPort) { f.deliver(i, b, to) }
 	for j := range min(3, len(f.vms)) {
 		if j != i {
 			f.after(suspicionStep, func() { f.vms[j].exchange.tell([]netip.AddrPort{v.address}, maxJoinSuspicions) })
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -289,7 +289,7 @@
 	if res.HasReply {
 		code = r.reply(w, q, res.Reply)
 	} else {
-		code = r.replyFailure(w, res.Status)
+		code = r.replyFailure(w, res.Status, res.RetryAt)
 	}
 	r.finish(q, res.Status, code, res.Attempts, 0, res.Server, res.Reason, res.Lost)
 	return res.Lost
@@ -333,7 +333,7 @@
 	if a.Status == shuntcall.Served {
 		r.replyMerged(w, q, a)
 	} else {
-		code = r.replyFailure(w, a.Status)
+		code = r.replyFailure(w, a.Status, a.RetryAt)
 	}
 	r.finish(q, a.Status, code, a.Attempts, a.Missing, "", a.Reason, a.Lost)
 	return a.Lost
@@ -359,12 +359,13 @@
 }
 
 // replyFailure replies to a request that no server served, and returns the status
-// code. It replies 503 with Retry-After only if the request has not run.
-func (r *Router) replyFailure(w http.ResponseWriter, end shuntcall.CallStatus) int {
+// code. It replies 503 with Retry-After only if the request has not run. retryAt is when it
+// may be served; zero if that is not known.
+func (r *Router) replyFailure(w http.ResponseWriter, end shuntcall.CallStatus, retryAt time.Time) int {
 	code := http.StatusBadGateway
 	switch end {
 	case shuntcall.Refused:
-		w.Header().Set("Retry-After", r.retryAfter(0))
+		w.Header().Set("Retry-After", r.retryAfter(time.Until(retryAt)))
 		code = http.StatusServiceUnavailable
 	case shuntcall.Expired:
 		code = http.StatusGatewayTimeout
--- a/shuntrouter/metrics.go
+++ b/shuntrouter/metrics.go
@@ -17,6 +17,8 @@
 	docRevision = shuntmetric.Doc{Name: "mulberryshunt_router_revision", Type: "Gauge", Text: "Revision of the newest published change that the VM has applied.", Since: "0.2"}
 	docPanics   = shuntmetric.Doc{Name: "mulberryshunt_router_panics_total", Type: "Gauge", Text: "Panics caught since the start; each lost one request, message or record.", Since: "0.3"}
 	docLimited  = shuntmetric.Doc{Name: "mulberryshunt_router_limited_servers", Type: "Gauge", Text: "Backend servers that limit their rate of requests.", Since: "0.4"}
+	docLeaving  = shuntmetric.Doc{Name: "mulberryshunt_router_leaving_servers", Type: "Gauge", Text: "Backend servers that have said, to this VM or another one, that they are leaving.", Since: "0.5"}
+	docPaused   = shuntmetric.Doc{Name: "mulberryshunt_router_paused_servers", Type: "Gauge", Text: "Backend servers that want no requests from this VM for a time.", Since: "0.5"}
 	docRelayed  = shuntmetric.Doc{Name: "mulberryshunt_router_relayed_total", Labels: "Why, End", Type: "Counter", Text: "Requests that another VM was asked to serve, by why and how that ended; after Refused the next VM was asked.", Since: "0.5"}
 	docLinks    = shuntmetric.Doc{Name: "mulberryshunt_router_links_lost", Type: "Gauge", Text: "1 while the VM has lost its links to the backend servers, else 0.", Since: "0.5"}
 	docSeconds  = shuntmetric.Doc{Name: "mulberryshunt_router_seconds", Labels: "End", Type: "Histogram", Unit: "seconds", Text: "Time from the arrival of a request to its reply.", Since: "0.2"}
@@ -24,7 +26,7 @@
 
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited, docRelayed, docLinks}
+	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited, docRelayed, docLinks, docLeaving, docPaused}
 }
 
 // registerGauges registers the metrics that are read at collection time.
@@ -32,6 +34,14 @@
 	shuntmetric.Gauge(set, docOpened, "", func() float64 { return float64(r.pool.ConnectionsOpened()) })
 	shuntmetric.Gauge(set, docPanics, "", func() float64 { return float64(shuntgroup.Panics()) })
 	shuntmetric.Gauge(set, docLimited, "", func() float64 { return float64(r.rateLimiter.Count()) })
+	shuntmetric.Gauge(set, docLeaving, "", func() float64 {
+		leaving, _ := r.notices.Counts()
+		return float64(leaving)
+	})
+	shuntmetric.Gauge(set, docPaused, "", func() float64 {
+		_, paused := r.notices.Counts()
+		return float64(paused)
+	})
 	shuntmetric.Gauge(set, docLinks, "", func() float64 {
 		if r.caller.LinksLost() {
 			return 1
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -39,7 +39,7 @@
 		if status == shuntcall.Served {
 			code = r.reply(w, q, o.Reply)
 		} else {
-			code = r.replyFailure(w, status)
+			code = r.replyFailure(w, status, time.Time{})
 		}
 		if code == http.StatusOK {
 			r.caller.RecordSuccess(q.fingerprint)
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -57,6 +57,9 @@
 	// server: its service's ColdRate times the factor, plus the slack.
 	ColdFactor float64
 	ColdSlack  float64
+	// DrainTime is how long after a server has said that it is leaving it may get
+	// requests.
+	DrainTime time.Duration
 	// DelistedGrace is how long a server without an entry is kept as a last resort.
 	DelistedGrace time.Duration
 	// WatchWait is how long a watch of the platform waits for changes.
@@ -98,6 +101,7 @@
 	coldLimiter      *shuntbalance.ColdLimiter
 	rateLimiter      *shuntbalance.RateLimiter
 	throttle         *shuntbalance.Throttle
+	notices          *shuntbalance.Notices
 	guard            *shuntguard.Guard
 	caller           *shuntcall.Caller
 	random           *shuntrandom.Source
@@ -132,6 +136,7 @@
 		metrics:          newRouterMetrics(c.Metrics),
 		conns:            newCallerConns(),
 	}
+	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Random: r.random, OnNews: func() { r.node.LeavingChanged() }})
 	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
 	r.ending, r.endRequests = context.WithCancel(context.Background())
 	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }})
@@ -140,6 +145,7 @@
 		Address: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf:     func(zone string) string { return s.RegionByZone[zone] },
 		Guard:        r.guard,
+		Notices:      r.notices,
 		RateLimits:   r.rateLimiter,
 		ChangesSince: func(revision int64) shuntcatalog.Delta { return r.follower.ChangesSince(r.ctx, revision) },
 	})
@@ -157,6 +163,7 @@
 		}),
 		ColdRate:      func(v shuntroute.Service) float64 { return v.ColdRate*s.ColdFactor + s.ColdSlack },
 		Throttle:      r.throttle,
+		Notices:       r.notices,
 		Metrics:       shuntcall.NewMetrics(c.Metrics),
 		Guard:         r.guard,
 		CrashDetector: shuntguard.NewCrashDetector(),
@@ -217,6 +224,7 @@
 			r.caller.Prune(now)
 			r.coldLimiter.Prune(now)
 			r.rateLimiter.Prune(now)
+			r.notices.Prune(now)
 			r.throttle.Prune(now)
 		case <-ctx.Done():
 			return
@@ -241,9 +249,6 @@
 			continue
 		}
 		for s := range r.follower.View().All() {
-			if s.Cold(time.Now()) || !s.DelistedAt.IsZero() || r.balancer.RecentlyUnreachable(s) {
-				continue
-			}
 			if err := r.caller.EnsureConnected(ctx, s); err != nil {
 				klog.V(1).InfoS("Failed to open a connection in advance", "server", s.ID, "reason", err.Error())
 			}
--- a/shuntupstream/exchange.go
+++ b/shuntupstream/exchange.go
@@ -25,6 +25,8 @@
 	// RateLimit is the number of requests per second that a server in need accepts
 	// from all VMs together. Servers send it only as long as it applies.
 	RateLimit string
+	// Leaving is set by a server that is about to leave.
+	Leaving string
 }
 
 // Request is a request to a backend server.
@@ -94,6 +96,29 @@
 	return perSecond, true, nil
 }
 
+// Leaving reports whether the server says that it is about to leave.
+func (r Reply) Leaving(h Headers) bool {
+	text := r.Header.Get(h.Leaving)
+	return text != "" && text != "0"
+}
+
+// Pause returns how long the server wants no requests from this VM. asked is false if it
+// does not say so: only a server that is unavailable can.
+func (r Reply) Pause() (d time.Duration, asked bool, err error) {
+	text := r.Header.Get("Retry-After")
+	if r.Code != http.StatusServiceUnavailable || text == "" {
+		return 0, false, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0, false, errors.Errorf("Retry-After: %q is not a time in seconds", text)
+	}
+	return time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second)), true, nil
+}
+
+// maxPauseSeconds is the longest pause that a time.Duration need hold.
+const maxPauseSeconds = 1e9
+
 // Outcome is the result of an exchange.
 type Outcome struct {
 	Status Status
