shuntcall: a server that has not accepted a connection for 40 ms is avoided for a while

A connection is accepted within a round trip, so one that hangs for longer says enough about the server, whoever stops waiting.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -33,6 +33,10 @@
 	// answer is late, and minHedgeDelay the least time before it counts as late.
 	hedgeLatencyFactor = 3
 	minHedgeDelay      = 10 * time.Millisecond
+	// slowConnect is the time after which a server that has not accepted a connection is
+	// unreachable for a while, though this VM may have stopped waiting: others accept
+	// within a round trip.
+	slowConnect = 40 * time.Millisecond
 	// connReserve is the fraction of a server's connections that is left unused for
 	// VMs that do not know of each other yet.
 	connReserve = 0.2
@@ -507,7 +511,7 @@
 	if !sent {
 		c.config.RateLimiter.Refund(s)
 	}
-	result := balancerResult(ctx, o)
+	result := balancerResult(ctx, o, time.Since(started))
 	if c.observeNotices(s, o, started) {
 		// The pause is enough; after it the server is as good as before.
 		result = shuntbalance.Inconclusive
@@ -559,8 +563,8 @@
 }
 
 // balancerResult returns what the outcome of an exchange says about the server. ctx is
-// that of the exchange.
-func balancerResult(ctx context.Context, o shuntupstream.Outcome) shuntbalance.Result {
+// that of the exchange, and took its duration.
+func balancerResult(ctx context.Context, o shuntupstream.Outcome, took time.Duration) shuntbalance.Result {
 	switch o.Status {
 	case shuntupstream.Answered:
 		if o.Reply.Code >= 500 {
@@ -572,8 +576,8 @@
 	case shuntupstream.Misdirected:
 		return shuntbalance.AddressReused
 	case shuntupstream.NotSent:
-		if ctx.Err() != nil {
-			// This VM stopped waiting for the connection.
+		if ctx.Err() != nil && took < slowConnect {
+			// This VM stopped waiting before that said anything about the server.
 			return shuntbalance.Abandoned
 		}
 		return shuntbalance.Unreachable
--- a/shuntcall/delegate.go
+++ b/shuntcall/delegate.go
@@ -231,7 +231,7 @@
 	defer stalled.Stop()
 	o := c.config.DelegatePool.Do(partCtx, shuntupstream.Server{ID: d.to.ID, Address: d.to.Address, MaxConns: delegateConns}, true, r)
 	c.health.end(d.to.ID, open, time.Now(), o.Status == shuntupstream.Answered, o.Status == shuntupstream.Cancelled)
-	c.config.DelegateBalancer.End(d.to, a, balancerResult(partCtx, o))
+	c.config.DelegateBalancer.End(d.to, a, balancerResult(partCtx, o, time.Since(sent)))
 	if !o.Status.MayHaveRun() {
 		c.config.Metrics.delegated[Refused].Add(len(d.shards))
 		klog.InfoS("Shards not gathered by another VM", "request", q.Request.ID, "vm", d.to.ID, "region", d.to.Region, "shards", len(d.shards), "status", o.Status,
--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -87,7 +87,7 @@
 		c.config.CrashDetector.Reached(s.ID, begun)
 	case shuntupstream.Misdirected:
 		// Another process has the address, so the server has ended.
-		if c.config.CrashDetector.BeginCheck(s.ID) {
+		if !c.endsAsPlanned(s) && c.config.CrashDetector.BeginCheck(s.ID) {
 			c.endCheck(s, true)
 		}
 	case shuntupstream.Broken:
--- a/shuntcall/relay.go
+++ b/shuntcall/relay.go
@@ -48,9 +48,10 @@
 	if s, ok := c.config.Guard.Suspected(fingerprint); ok {
 		r.Header.Set(headerSuspicion, formatSuspicion(s))
 	}
+	sent := time.Now()
 	a := c.config.DelegateBalancer.Begin(d)
 	o := c.config.DelegatePool.Do(ctx, shuntupstream.Server{ID: d.ID, Address: d.Address, MaxConns: delegateConns}, idempotent, r)
-	c.config.DelegateBalancer.End(d, a, balancerResult(ctx, o))
+	c.config.DelegateBalancer.End(d, a, balancerResult(ctx, o, time.Since(sent)))
 	c.mergeSuspicion(fingerprint, o.Reply.Header)
 	for _, name := range []string{c.config.Headers.NotRun, headerSuspicion} {
 		o.Reply.Header.Del(name)
