shuntcall: retries of a query wait for the first only where many of its shards lost their connections

The gate now closes only for what goes beyond a fifth of the query's shards. The price: a query that crashes servers costs a fifth of its shards more instead of one.

--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -290,7 +290,7 @@
 }
 
 func newQueryState(q Query, s Subset) *queryState {
-	gate := newRetryGate(time.Duration(hedgeFraction * float64(q.Route.LatencyGoal)))
+	gate := newRetryGate(time.Duration(hedgeFraction*float64(q.Route.LatencyGoal)), len(s.Shards))
 	return &queryState{query: q, subset: s, shards: s.Shards, gate: gate, open: len(s.Shards), seenSignatures: make(map[string]bool, len(s.Shards))}
 }
 
