shuntmember: what is read of another VM's state is bounded

A VM that sent its state without end made the one that fetched it grow by 810 MB within the 0.6 s that a fetch may take (TestEndlessState, failed before; a small VM has 184 MB). A state may have 8 MB, a request for one 64 KB; at the users' target a whole state is 1.5 MB.

--- a/shuntmember/state.go
+++ b/shuntmember/state.go
@@ -23,8 +23,31 @@
 	// serveTimeout is the time after which a connection from another VM is
 	// closed.
 	serveTimeout = 2 * time.Second
+	// maxStateBytes limits what is read of another VM's state, and maxRequestBytes what is
+	// read of its requests on one connection.
+	maxStateBytes   = 8 << 20
+	maxRequestBytes = 64 << 10
 )
 
+// errTooLong means that another VM has sent more than it may.
+var errTooLong = errors.New("the message is too long")
+
+// boundedConn is a connection from which a limited number of bytes can be read.
+type boundedConn struct {
+	net.Conn
+	left int
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // StateArgs requests the changes after a revision.
 type StateArgs struct {
 	After int64
@@ -109,7 +132,7 @@
 			return
 		}
 		_ = c.SetDeadline(time.Now().Add(serveTimeout))
-		if !n.config.Group.Go(func() { server.ServeConn(c) }) {
+		if !n.config.Group.Go(func() { server.ServeConn(&boundedConn{c, maxRequestBytes}) }) {
 			_ = c.Close()
 		}
 	}
@@ -149,7 +172,7 @@
 	if err != nil {
 		return shuntcatalog.Delta{}, errors.Trace(err)
 	}
-	client := rpc.NewClient(c)
+	client := rpc.NewClient(&boundedConn{c, maxStateBytes})
 	defer func() { _ = client.Close() }()
 	deadline, _ := ctx.Deadline()
 	_ = c.SetDeadline(deadline)
