--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -28,6 +28,8 @@
 	// bodyStepBytes is how much memory a body takes at first, unless its length is
 	// known to be smaller.
 	bodyStepBytes = 8 << 10
+	// maxBodyStepBytes is how much it takes at most at a time.
+	maxBodyStepBytes = 256 << 10
 	// largeBodyBytes is the size above which a request body is written
 	// concurrently with reading the reply, because a server may reply before it
 	// has read the whole body.
--- a/shuntupstream/limit.go
+++ b/shuntupstream/limit.go
@@ -1,6 +1,7 @@
 package shuntupstream
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 
@@ -42,38 +43,48 @@
 
 // read reads a body up to maxReplyBytes. length is its length if that is known, or
 // -1. Only io.EOF ends a body: anything else means that it is incomplete.
+//
+// The body is read into pieces that are joined at the end. A buffer that grows would leave
+// a copy behind each time, and these add up when many servers send without end.
 func (m *replyMemory) read(r io.Reader, length int64) ([]byte, error) {
 	if length > maxReplyBytes {
 		return nil, errors.Annotatef(ErrTooLong, "body of %d bytes", length)
 	}
-	size := int64(bodyStepBytes)
+	step := int64(bodyStepBytes)
 	if length >= 0 {
 		// One more byte than the body has, to read its end.
-		size = min(size, length+1)
+		step = min(step, length+1)
 	}
-	held := int64(0)
+	held, total := int64(0), 0
 	defer func() { m.used.Add(-held) }()
-	var body []byte
+	var full [][]byte
+	var piece []byte
 	for {
-		if len(body) == cap(body) {
-			size = max(size, int64(cap(body)))
-			held += size
+		if len(piece) == cap(piece) {
+			if piece != nil {
+				full = append(full, piece)
+				step = min(2*int64(cap(piece)), maxBodyStepBytes)
+			}
+			held += step
 			// The first bytes of any reply have room, so that the long replies of some
 			// servers don't cost others their short ones.
-			if used := m.used.Add(size); m.limit > 0 && used > m.limit && body != nil {
+			if used := m.used.Add(step); m.limit > 0 && used > m.limit && piece != nil {
 				klog.InfoS("Replies in flight take too much memory; dropping one", "bytes", used, "limit", m.limit, "length", length)
 				return nil, errors.Annotate(ErrTooLong, "no memory for the body")
 			}
-			body = append(make([]byte, 0, len(body)+int(size)), body...)
+			piece = make([]byte, 0, step)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := r.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		total += n
 		switch {
+		case err == io.EOF && len(full) == 0:
+			return piece, nil
 		case err == io.EOF:
-			return body, nil
+			return bytes.Join(append(full, piece), nil), nil
 		case err != nil:
 			return nil, errors.Trace(err)
-		case len(body) > maxReplyBytes:
+		case total > maxReplyBytes:
 			return nil, errors.Annotate(ErrTooLong, "body")
 		}
 	}
--- a/shuntupstream/limit_test.go
+++ b/shuntupstream/limit_test.go
@@ -78,9 +78,9 @@
 				}
 			})
 			wait.Wait()
-			// The garbage of growing buffers counts until it is collected.
+			// What is no longer needed counts until it is collected.
 			grown := int64(peak) - int64(before)
-			if took, n := time.Since(started), bad.conns.Load(); took > 20*time.Second || grown > 4*memoryLimit || n != servers {
+			if took, n := time.Since(started), bad.conns.Load(); took > 20*time.Second || grown > 2*memoryLimit || n != servers {
 				t.Errorf("given up after %v; the heap grew by %d MB; %d connections for %d requests", took, grown>>20, n, servers)
 			}
 		})
