A request is not relayed to a VM that goes by older routes

Found by reading: a VM that relays a request for which newer routes are in force could have had it served by older ones. The version goes with the request, and a VM that goes by an older one declines (TestServeRelayed/older routes).

--- a/shuntcall/availability.go
+++ b/shuntcall/availability.go
@@ -119,6 +119,5 @@
 // isWarm reports whether the server may get as many requests as there are: it is usable,
 // listed and can be reached.
 func (c *Caller) isWarm(s shuntroute.Server, now time.Time) bool {
-	said, _, _ := c.config.Notices.Standing(shuntbalance.IncarnationOf(s))
-	return said == shuntbalance.Open && !s.Cold(now) && s.DelistedAt.IsZero() && !c.config.Balancer.RecentlyUnreachable(s)
+	return c.mayConnect(s) && !s.Cold(now) && !c.config.Balancer.RecentlyUnreachable(s)
 }
--- a/shuntcall/links.go
+++ b/shuntcall/links.go
@@ -46,7 +46,7 @@
 func (c *Caller) provesLinks(ctx context.Context, s shuntroute.Server, since time.Time) bool {
 	var others []shuntroute.Server
 	for o := range c.config.View().All() {
-		if o.ID != s.ID {
+		if o.ID != s.ID && c.mayConnect(o) {
 			others = append(others, o)
 		}
 	}
@@ -215,8 +215,7 @@
 func (c *Caller) serversToProbe() []shuntroute.Server {
 	byZone := map[string][]shuntroute.Server{}
 	for s := range c.config.View().All() {
-		said, _, _ := c.config.Notices.Standing(shuntbalance.IncarnationOf(s))
-		if s.DelistedAt.IsZero() && said == shuntbalance.Open {
+		if c.mayConnect(s) {
 			byZone[s.Zone] = append(byZone[s.Zone], s)
 		}
 	}
@@ -235,6 +234,12 @@
 	return out
 }
 
+// mayConnect reports whether the server is there for all that is known, and may be bothered.
+func (c *Caller) mayConnect(s shuntroute.Server) bool {
+	said, _, _ := c.config.Notices.Standing(shuntbalance.IncarnationOf(s))
+	return said == shuntbalance.Open && s.DelistedAt.IsZero()
+}
+
 // sortByAnswer sorts servers by when they last answered, the latest first.
 func (c *Caller) sortByAnswer(servers []shuntroute.Server) {
 	answered := make(map[string]time.Time, len(servers))
@@ -243,27 +248,3 @@
 	}
 	slices.SortFunc(servers, func(a, b shuntroute.Server) int { return answered[b.ID].Compare(answered[a.ID]) })
 }
-
-// RelayTargets returns the VMs that may serve a request of the route for this one, the
-// best first.
-func (c *Caller) RelayTargets(route *shuntroute.Route) []Delegate {
-	var servers []shuntroute.Server
-	byAddress := map[string]Delegate{}
-	for _, d := range c.config.Fleet.Helpers() {
-		if route.Allows(d.Region) {
-			servers = append(servers, d.server())
-			byAddress[d.Address] = d
-		}
-	}
-	var out []Delegate
-	var tried []shuntbalance.Incarnation
-	for len(out) < maxRelays {
-		s, ok := c.config.DelegateBalancer.Choose(servers, shuntbalance.ChooseOptions{Exclude: tried})
-		if !ok {
-			break
-		}
-		tried = append(tried, shuntbalance.IncarnationOf(s))
-		out = append(out, byAddress[s.Address])
-	}
-	return out
-}
--- a/shuntcall/relay.go
+++ b/shuntcall/relay.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -23,12 +21,22 @@
 	headerSuspicion = "Shunt-Suspicion"
 )
 
-// maxRelays is the number of VMs that are asked to serve a request, one after the other
-// while they decline.
-const maxRelays = 2
+// RelayedRequest is a request that another VM is to serve.
+type RelayedRequest struct {
+	Route *shuntroute.Route
+	// Version is that of the routes by which this VM goes. The other VM must not go by
+	// older ones.
+	Version     int64
+	Request     shuntupstream.Request
+	Fingerprint uint64
+	// Start is when the request arrived.
+	Start time.Time
+}
 
 // Relayed is what a VM tells another one about a request that it relays.
 type Relayed struct {
+	// Version is that of the routes by which the other VM goes.
+	Version int64
 	// Fingerprint identifies the content of the request.
 	Fingerprint uint64
 	// Elapsed is the time since the request arrived from its caller.
@@ -39,20 +47,21 @@
 
 // Relay has another VM serve a request as a whole. The outcome is as that of an exchange
 // with a backend server; its reply is the one for the caller.
-func (c *Caller) Relay(ctx context.Context, to Delegate, idempotent bool, r shuntupstream.Request, fingerprint uint64, start time.Time) shuntupstream.Outcome {
+func (c *Caller) Relay(ctx context.Context, to Delegate, q RelayedRequest) shuntupstream.Outcome {
 	d := to.server()
+	sent := time.Now()
+	elapsed := sent.Sub(q.Start) + c.networkTimes.estimate(d.ID, c.initialTimeTo(d.Region))
+	r := q.Request
 	r.Header = r.Header.Clone()
 	r.Header.Set(headerRelayed, "1")
-	r.Header.Set(headerFingerprint, strconv.FormatUint(fingerprint, 16))
-	r.Header.Set(headerElapsed, strconv.FormatInt((time.Since(start)+c.networkTimes.estimate(d.ID, c.initialTimeTo(d.Region))).Microseconds(), 10))
-	if s, ok := c.config.Guard.Suspected(fingerprint); ok {
-		r.Header.Set(headerSuspicion, formatSuspicion(s))
-	}
-	sent := time.Now()
+	r.Header.Set(headerVersion, strconv.FormatInt(q.Version, 10))
+	r.Header.Set(headerFingerprint, strconv.FormatUint(q.Fingerprint, 16))
+	r.Header.Set(headerElapsed, strconv.FormatInt(elapsed.Microseconds(), 10))
+	c.WriteSuspicion(r.Header, q.Fingerprint)
 	a := c.config.DelegateBalancer.Begin(d)
-	o := c.config.DelegatePool.Do(ctx, shuntupstream.Server{ID: d.ID, Address: d.Address, MaxConns: delegateConns}, idempotent, r)
+	o := c.config.DelegatePool.Do(ctx, shuntupstream.Server{ID: d.ID, Address: d.Address, MaxConns: delegateConns}, q.Route.Idempotent, r)
 	c.config.DelegateBalancer.End(d, a, balancerResult(ctx, o, time.Since(sent)))
-	c.mergeSuspicion(fingerprint, o.Reply.Header)
+	c.mergeSuspicion(q.Fingerprint, o.Reply.Header)
 	for _, name := range []string{c.config.Headers.NotRun, headerSuspicion} {
 		o.Reply.Header.Del(name)
 	}
@@ -82,11 +91,15 @@
 	if err != nil || elapsed < 0 {
 		return Relayed{}, errors.Errorf("%s: %q is not a time", headerElapsed, h.Get(headerElapsed))
 	}
-	out := Relayed{Fingerprint: fingerprint, Elapsed: time.Duration(elapsed) * time.Microsecond}
+	version, err := strconv.ParseInt(h.Get(headerVersion), 10, 64)
+	if err != nil {
+		return Relayed{}, errors.Trace(err)
+	}
+	out := Relayed{Version: version, Fingerprint: fingerprint, Elapsed: time.Duration(elapsed) * time.Microsecond}
 	if s, ok := parseSuspicion(fingerprint, h.Get(headerSuspicion)); ok {
 		out.Suspicion = &s
 	}
-	for _, name := range []string{headerRelayed, headerFingerprint, headerElapsed, headerSuspicion} {
+	for _, name := range []string{headerRelayed, headerVersion, headerFingerprint, headerElapsed, headerSuspicion} {
 		h.Del(name)
 	}
 	return out, nil
@@ -128,109 +141,3 @@
 
 // maxSuspicionAge bounds the age of a suspicion that is taken over from another VM.
 const maxSuspicionAge = 24 * time.Hour
-
-// MayServe reports whether a request should be tried though this VM has lost its links and
-// no other VM serves it: while connections that live on bring answers, and now and then if
-// there may be any.
-func (c *Caller) MayServe() bool {
-	now := time.Now()
-	if now.Sub(c.config.Balancer.LastAnswer()) < liveConnWindow {
-		return true
-	}
-	if _, silent := c.config.Links.Lost(); silent {
-		return false
-	}
-	tried := c.triedAt.Load()
-	return now.UnixNano()-tried >= int64(linkTrialInterval) && c.triedAt.CompareAndSwap(tried, now.UnixNano())
-}
-
-const (
-	// liveConnWindow is how long after an answer a connection counts as alive on a VM that
-	// has lost its links, and linkTrialInterval the time between two requests that are
-	// tried there otherwise.
-	liveConnWindow    = 500 * time.Millisecond
-	linkTrialInterval = 200 * time.Millisecond
-	// relayMemory is how long after another VM has served a request to a service this VM
-	// relies on that while it does not reach the service's servers.
-	relayMemory = 2 * time.Second
-	// minRelayBackoff and maxRelayBackoff bound the time for which requests to a service are
-	// not relayed after no other VM reached its servers either. The time doubles with
-	// each failure in a row.
-	minRelayBackoff = 500 * time.Millisecond
-	maxRelayBackoff = 4 * time.Second
-)
-
-// serviceRelays tells for which services other VMs can be asked, because they reach
-// servers that this VM does not reach.
-type serviceRelays struct {
-	mu       sync.Mutex
-	services map[string]serviceRelay
-}
-
-type serviceRelay struct {
-	// servedAt is when another VM last served a request.
-	servedAt time.Time
-	// pausedUntil is when others are asked again after none served one.
-	pausedUntil time.Time
-	pause       time.Duration
-}
-
-// MayRelayService reports whether another VM should be asked for a service whose servers
-// this VM does not reach.
-func (c *Caller) MayRelayService(service string) bool {
-	c.relays.mu.Lock()
-	defer c.relays.mu.Unlock()
-	return !time.Now().Before(c.relays.services[service].pausedUntil)
-}
-
-// RecordServiceRelay records whether another VM served a request for such a service.
-func (c *Caller) RecordServiceRelay(service string, served bool) {
-	now := time.Now()
-	c.relays.mu.Lock()
-	defer c.relays.mu.Unlock()
-	if c.relays.services == nil {
-		c.relays.services = map[string]serviceRelay{}
-	}
-	if served {
-		c.relays.services[service] = serviceRelay{servedAt: now}
-		return
-	}
-	pause := min(max(minRelayBackoff, 2*c.relays.services[service].pause), maxRelayBackoff)
-	c.relays.services[service] = serviceRelay{pausedUntil: now.Add(pause), pause: pause}
-}
-
-// isDown returns whether servers of the service count as down.
-func (c *Caller) isDown(service string) func(shuntroute.Server) bool {
-	if isDown, relied := c.downWhileRelayed(service); relied {
-		return isDown
-	}
-	return c.config.Balancer.Down
-}
-
-// downWhileRelayed returns whether servers of the service count as down while other VMs
-// serve its requests; it returns false if they don't. A server that this VM could not reach
-// is then down until a connection to it succeeds, so that no request has to try that.
-func (c *Caller) downWhileRelayed(service string) (isDown func(shuntroute.Server) bool, relied bool) {
-	c.relays.mu.Lock()
-	servedAt := c.relays.services[service].servedAt
-	c.relays.mu.Unlock()
-	if time.Since(servedAt) > relayMemory {
-		return nil, false
-	}
-	return func(s shuntroute.Server) bool {
-		unreachable, again := c.config.Balancer.Unreachable(s)
-		if again {
-			c.config.Group.Go(func() { _ = c.connect(context.Background(), s) })
-		}
-		return unreachable
-	}, true
-}
-
-// prune removes services that have not been relayed for a long time.
-func (s *serviceRelays) prune(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	maps.DeleteFunc(s.services, func(_ string, r serviceRelay) bool {
-		return now.Sub(r.servedAt) > relayMemory && now.Sub(r.pausedUntil) > 2*maxRelayBackoff
-	})
-}
--- a/shuntrouter/delegated_test.go
+++ b/shuntrouter/delegated_test.go
@@ -87,6 +87,9 @@
 		"no route":               {path: "/other/x", code: http.StatusServiceUnavailable},
 		"unreadable fingerprint": {path: "/one/x", change: map[string]string{"Shunt-Fingerprint": "?"}, code: http.StatusServiceUnavailable},
 		"unreadable time":        {path: "/one/x", change: map[string]string{"Shunt-Elapsed-Us": "-1"}, code: http.StatusServiceUnavailable},
+		"older routes":           {path: "/one/x", change: map[string]string{"Shunt-Version": "2"}, code: http.StatusServiceUnavailable},
+		"newer routes":           {path: "/one/x", change: map[string]string{"Shunt-Version": "0"}, code: http.StatusOK},
+		"no version":             {path: "/one/x", change: map[string]string{"Shunt-Version": ""}, code: http.StatusServiceUnavailable},
 		"this VM ends":           {path: "/one/x", leaving: true, code: http.StatusOK},
 		"in quarantine":          {path: "/one/x", change: map[string]string{"Shunt-Fingerprint": "abc", "Shunt-Suspicion": "1 100"}, code: http.StatusServiceUnavailable},
 	}
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -28,7 +28,7 @@
 // decline are passed over; it returns false if all do, so that nothing has run.
 func (r *Router) relay(ctx context.Context, w http.ResponseWriter, q request, why string, to []shuntcall.Delegate) bool {
 	for _, vm := range to {
-		o := r.caller.Relay(ctx, vm, q.route.Idempotent, q.upstream, q.fingerprint, q.start)
+		o := r.caller.Relay(ctx, vm, shuntcall.RelayedRequest{Route: q.route, Version: q.table.Version(), Request: q.upstream, Fingerprint: q.fingerprint, Start: q.start})
 		status := relayStatus(o)
 		r.metrics.recordRelay(why, status)
 		if status == shuntcall.Refused {
@@ -91,8 +91,8 @@
 		return
 	}
 	table := r.follower.View().Table
-	if table == nil {
-		r.decline(w, id, "this VM knows no routes")
+	if table == nil || table.Version() < relayed.Version {
+		r.decline(w, id, "this VM goes by older routes")
 		return
 	}
 	if r.caller.LinksLost() {
@@ -108,9 +108,8 @@
 	if !ok {
 		return
 	}
-	q := r.newRequest(in, id, start.Add(-relayed.Elapsed), route, table, body)
-	q.deadline = q.deadline.Add(relayed.Elapsed)
-	q.upstream.Deadline = q.deadline
+	q := r.newRequest(in, id, start, route, table, body)
+	q.start = start.Add(-relayed.Elapsed)
 	q.fingerprint = relayed.Fingerprint
 	if r.endsBefore(q) {
 		r.decline(w, id, "this VM may end before the request")
