shuntupstream: the memory of replies that are dropped is used again

Cause: pieces of a body that was given up stayed until the next garbage collection, while other servers filled new ones; how much that adds up to was left to the collector. Class: a limit on what is in use, while what was in use still counts.

A body that does not fit its first 8 KB is read into blocks of 64 KB that go back to a pool. The bound is as before.

--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -25,11 +25,11 @@
 	// chunk extensions and trailers around it.
 	maxReplyBytes   = 16 << 20
 	maxFramingBytes = 1 << 20
-	// bodyStepBytes is how much memory a body takes at first, unless its length is
+	// firstBodyBytes is how much memory a body takes at first, unless its length is
 	// known to be smaller.
-	bodyStepBytes = 8 << 10
-	// maxBodyStepBytes is how much it takes at most at a time.
-	maxBodyStepBytes = 256 << 10
+	firstBodyBytes = 8 << 10
+	// bodyBlockBytes is how much more a longer one takes at a time.
+	bodyBlockBytes = 64 << 10
 	// largeBodyBytes is the size above which a request body is written
 	// concurrently with reading the reply, because a server may reply before it
 	// has read the whole body.
--- a/shuntupstream/limit.go
+++ b/shuntupstream/limit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -41,51 +42,83 @@
 	used  atomic.Int64
 }
 
+// bodyBlocks are used again for other bodies: without that, those of replies that are
+// dropped stay in memory until the next garbage collection, and servers that send without
+// end fill them faster than that.
+var bodyBlocks = sync.Pool{New: func() any { return new([bodyBlockBytes]byte) }}
+
 // read reads a body up to maxReplyBytes. length is its length if that is known, or
 // -1. Only io.EOF ends a body: anything else means that it is incomplete.
 //
-// The body is read into pieces that are joined at the end. A buffer that grows would leave
-// a copy behind each time, and these add up when many servers send without end.
+// A body that does not fit its first buffer is read into blocks that are joined at the
+// end. A buffer that grows would leave a copy behind each time.
 func (m *replyMemory) read(r io.Reader, length int64) ([]byte, error) {
 	if length > maxReplyBytes {
 		return nil, errors.Annotatef(ErrTooLong, "body of %d bytes", length)
 	}
-	step := int64(bodyStepBytes)
+	first := int64(firstBodyBytes)
 	if length >= 0 {
 		// One more byte than the body has, to read its end.
-		step = min(step, length+1)
+		first = min(first, length+1)
 	}
-	held, total := int64(0), 0
+	// The first bytes of any reply have room, so that the long replies of some servers
+	// don't cost others their short ones.
+	held := first
+	m.used.Add(held)
 	defer func() { m.used.Add(-held) }()
-	var full [][]byte
-	var piece []byte
-	for {
-		if len(piece) == cap(piece) {
-			if piece != nil {
-				full = append(full, piece)
-				step = min(2*int64(cap(piece)), maxBodyStepBytes)
-			}
-			held += step
-			// The first bytes of any reply have room, so that the long replies of some
-			// servers don't cost others their short ones.
-			if used := m.used.Add(step); m.limit > 0 && used > m.limit && piece != nil {
-				klog.InfoS("Replies in flight take too much memory; dropping one", "bytes", used, "limit", m.limit, "length", length)
-				return nil, errors.Annotate(ErrTooLong, "no memory for the body")
-			}
-			piece = make([]byte, 0, step)
+	grow := func(n int64) error {
+		held += n
+		if used := m.used.Add(n); m.limit > 0 && used > m.limit {
+			klog.InfoS("Replies in flight take too much memory; dropping one", "bytes", used, "limit", m.limit, "length", length)
+			return errors.Annotate(ErrTooLong, "no memory for the body")
+		}
+		return nil
+	}
+	body, err := fill(r, make([]byte, first))
+	if err == io.EOF {
+		return body, nil
+	}
+	parts := [][]byte{body}
+	var blocks []*[bodyBlockBytes]byte
+	defer func() {
+		for _, b := range blocks {
+			bodyBlocks.Put(b)
+		}
+	}()
+	total := int64(len(body))
+	for err == nil && total <= maxReplyBytes {
+		if err := grow(bodyBlockBytes); err != nil {
+			return nil, err
 		}
-		n, err := r.Read(piece[len(piece):cap(piece)])
-		piece = piece[:len(piece)+n]
-		total += n
-		switch {
-		case err == io.EOF && len(full) == 0:
-			return piece, nil
-		case err == io.EOF:
-			return bytes.Join(append(full, piece), nil), nil
-		case err != nil:
-			return nil, errors.Trace(err)
-		case total > maxReplyBytes:
-			return nil, errors.Annotate(ErrTooLong, "body")
+		block := bodyBlocks.Get().(*[bodyBlockBytes]byte)
+		blocks = append(blocks, block)
+		var part []byte
+		part, err = fill(r, block[:])
+		parts = append(parts, part)
+		total += int64(len(part))
+	}
+	switch {
+	case total > maxReplyBytes:
+		return nil, errors.Annotate(ErrTooLong, "body")
+	case err != io.EOF:
+		return nil, errors.Trace(err)
+	}
+	if err := grow(total); err != nil {
+		return nil, err
+	}
+	return bytes.Join(parts, nil), nil
+}
+
+// fill reads until the buffer is full and returns what was read. The error is that of the
+// reader, io.EOF too, and nil if the buffer is full.
+func fill(r io.Reader, buffer []byte) ([]byte, error) {
+	n := 0
+	for n < len(buffer) {
+		read, err := r.Read(buffer[n:])
+		n += read
+		if err != nil {
+			return buffer[:n], err
 		}
 	}
+	return buffer, nil
 }
