shuntbalance: a VM that does not divide a limit lets claimants keep what they hold, and grants nothing else

Claims then go to VMs that do not divide the limit, or not yet: those granted the larger of what the claimant held and its fixed share, by their own view of the fleet. So entries that held little rose to their share while all others kept what they had, and a VM that had just started gave a sixth of the limit to each of 20.

Who holds nothing gets no grant now, and uses the share that follows from its own knowledge.

--- a/shuntbalance/rate_divider.go
+++ b/shuntbalance/rate_divider.go
@@ -35,7 +35,7 @@
 //
 // If the VMs agree on who divides a limit, the rates in force add up to the limit at most.
 // While they disagree, a VM that does not divide it by its own knowledge only lets
-// claimants keep what they hold.
+// claimants keep what they hold: what it knows of their shares may be incomplete.
 type RateDivider struct {
 	mu      sync.Mutex
 	servers map[Incarnation]*dividedLimit
@@ -57,8 +57,9 @@
 // NewRateDivider returns a divider without claims.
 func NewRateDivider() *RateDivider { return &RateDivider{servers: map[Incarnation]*dividedLimit{}} }
 
-// Divide returns what the claim of a VM is granted.
-func (d *RateDivider) Divide(vm netip.AddrPort, c RateClaim, f FleetShares, now time.Time) RateGrant {
+// Divide returns what the claim of a VM is granted. It returns false if the VM is to use
+// its fixed share.
+func (d *RateDivider) Divide(vm netip.AddrPort, c RateClaim, f FleetShares, now time.Time) (RateGrant, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.servers[c.Server]
@@ -71,14 +72,17 @@
 	}
 	if c.Demand == 0 {
 		delete(s.claimants, vm)
-		return RateGrant{Server: c.Server}
+		return RateGrant{Server: c.Server}, true
 	}
-	rate := max(c.Held, f.ShareOf(vm)*s.limit) // as without a grant at least
-	if f.Divides(c.Server.ID, c.Region) {
-		rate = s.divide(vm, c.Demand, f, now)
+	rate, granted := c.Held, c.Held > 0
+	switch {
+	case f.Divides(c.Server.ID, c.Region):
+		rate, granted = s.divide(vm, c.Demand, f, now), true
+	case !granted:
+		rate = f.ShareOf(vm) * s.limit
 	}
 	s.claimants[vm] = rateClaimant{demand: c.Demand, rate: rate, until: now.Add(bookedDuration)}
-	return RateGrant{Server: c.Server, Rate: rate}
+	return RateGrant{Server: c.Server, Rate: rate}, granted
 }
 
 // divide returns the part of the limit for a VM with the demand: about in proportion to
--- a/shuntmember/limits.go
+++ b/shuntmember/limits.go
@@ -71,9 +71,11 @@
 // divide returns what the claims of a VM are granted.
 func (x *limitExchange) divide(vm netip.AddrPort, claims []shuntbalance.RateClaim, now time.Time) []shuntbalance.RateGrant {
 	fleet := fleetShares{x.snapshot(), now}
-	out := make([]shuntbalance.RateGrant, len(claims))
-	for i, c := range claims {
-		out[i] = x.divider.Divide(vm, c, fleet, now)
+	var out []shuntbalance.RateGrant
+	for _, c := range claims {
+		if g, ok := x.divider.Divide(vm, c, fleet, now); ok {
+			out = append(out, g)
+		}
 	}
 	return out
 }
