--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -49,6 +50,32 @@
 	return r.Snapshot(now, settledAge)
 }
 
+// TestStartedAlone checks that a VM that has heard from no other one since it started
+// leaves room for others, for as long as they would for it.
+func TestStartedAlone(t *testing.T) {
+	cases := map[string]struct {
+		age   time.Duration
+		share float64
+		acts  bool
+	}{
+		"not settled": {startupTime, 1.0 / minStartupEntries, false},
+		"settled":     {startupTime + time.Second, 1.0 / minStartupEntries, false},
+		"in the end":  {shareRetention + time.Second, 1, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			l := NewMemberList(newReports(1, equalCapacity)[0], regionOf)
+			l.Snapshot(now.Add(-c.age), 0)
+			s := l.Snapshot(now, c.age)
+			_, _, inCharge := s.InChargeOfSuspect(1, nil)
+			if got := s.Share(); math.Abs(got-c.share) > 1e-9 || inCharge != c.acts || s.Divides("i-1", "a", now) != c.acts {
+				t.Errorf("share %v, in charge of suspects: %v, divides limits: %v; want %v, %v, %v", got, inCharge, s.Divides("i-1", "a", now), c.share, c.acts, c.acts)
+			}
+		})
+	}
+}
+
 // TestEntries checks which VMs callers are sent to.
 func TestEntries(t *testing.T) {
 	large := func(i int) uint32 {
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -395,9 +395,9 @@
 
 // InChargeOfSuspect returns the one VM that runs the request with the fingerprint while it
 // is suspected of crashing backend servers: an entry in the regions, or in any if there
-// are none. self is true if that is this VM. It returns false if there is no such VM, or if this VM does not
-// hear from most of the VMs that it knew lately, so that after a loss of contact at most one
-// side has a VM in charge.
+// are none. self is true if that is this VM. It returns false if there is no such VM, or if
+// this VM does not hear from most of the VMs that it knew lately, or from any since it
+// started, so that after a loss of contact at most one side has a VM in charge.
 func (s *Snapshot) InChargeOfSuspect(fingerprint uint64, regions []string) (vm Report, self, ok bool) {
 	heard := 0
 	entries := map[netip.AddrPort]Report{}
@@ -409,7 +409,7 @@
 			}
 		}
 	}
-	if !s.settled || heard <= len(s.shares.silent) || len(entries) == 0 {
+	if !s.settled || s.alone || heard <= len(s.shares.silent) || len(entries) == 0 {
 		return Report{}, false, false
 	}
 	vm = entries[heaviest(maps.Keys(entries), suspectName(fingerprint))]
