--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -39,9 +39,9 @@
 	// entries. The rest is divided among the other VMs, which few callers
 	// reach.
 	entryShare = 0.8
-	// minStartupEntries is the minimum number of entries that a process assumes
-	// for its share during startupTime, or until it hears from another VM, because it may not have heard of all of
-	// them yet.
+	// minStartupEntries is the minimum number of entries that a process assumes for its
+	// share during startupTime, because it may not have heard of all of them yet, and
+	// while it has heard of none.
 	minStartupEntries = 6
 	// agreementTime is how long after a change of the entries of a region VMs may still
 	// know the earlier ones.
