Limits that servers name are told to the other VMs

A request had crashed all other replicas of a query, so VMs of two other zones began to ask the limited one; since the query could not be answered, they ended each attempt before its reply, which is what tells the limit. By their logs none of the four ever knew of it. The rule counts only VMs that were told, but the server is in need.

VMs tell each other limits in the same way as servers that leave (the third use of the exchange of news): at once, with heartbeats, and to a VM that starts. What a server tells a VM itself goes before, and its end is not undone by an older hint. TestLimitHints.

--- a/shuntbalance/notices.go
+++ b/shuntbalance/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -245,7 +246,7 @@
 
 // Export returns up to limit servers that are leaving, for other VMs, those that were told
 // least often first.
-func (n *Notices) Export(limit int) []LeavingHint { return n.export(limit, 1<<30) }
+func (n *Notices) Export(limit int) []LeavingHint { return n.export(limit, math.MaxInt) }
 
 // News returns those that other VMs may not know yet.
 func (n *Notices) News(limit int) []LeavingHint { return n.export(limit, noticeSends) }
@@ -260,13 +261,7 @@
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b Incarnation) int {
-		if c := cmp.Compare(n.servers[a].sends, n.servers[b].sends); c != 0 {
-			return c
-		}
-		return n.servers[b].heardAt().Compare(n.servers[a].heardAt())
-	})
-	ids = ids[:min(len(ids), limit)]
+	ids = leastSent(ids, limit, func(id Incarnation) (int, time.Time) { return n.servers[id].sends, n.servers[id].heardAt() })
 	out := make([]LeavingHint, len(ids))
 	for i, id := range ids {
 		n.servers[id].sends++
@@ -275,6 +270,21 @@
 	return out
 }
 
+// leastSent returns up to limit of the servers: those of which other VMs were told least
+// often, and among them the latest. about returns how often that was, and when this VM
+// learned of it.
+func leastSent(ids []Incarnation, limit int, about func(Incarnation) (sends int, at time.Time)) []Incarnation {
+	slices.SortFunc(ids, func(a, b Incarnation) int {
+		sendsA, atA := about(a)
+		sendsB, atB := about(b)
+		if c := cmp.Compare(sendsA, sendsB); c != 0 {
+			return c
+		}
+		return atB.Compare(atA)
+	})
+	return ids[:min(len(ids), limit)]
+}
+
 // heardAt returns when the server first told this VM or another one that it is leaving;
 // zero if it has not.
 func (r *notice) heardAt() time.Time {
--- a/shuntbalance/rate_limiter.go
+++ b/shuntbalance/rate_limiter.go
@@ -1,6 +1,8 @@
 package shuntbalance
 
 import (
+	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -27,6 +29,10 @@
 	minServerRate = 0.2
 	// maxServerRate, in requests per second, replaces higher limits, which bind no VM.
 	maxServerRate = 1e6
+	// limitHintMemory is how long a VM goes by a limit that another one was told.
+	limitHintMemory = 10 * time.Second
+	// limitHintSends is how often other VMs are told at once that a server names a limit.
+	limitHintSends = 3
 )
 
 // RateClaim is what a VM claims of the limit that a server names.
@@ -51,31 +57,51 @@
 	Rate   float64
 }
 
+// LimitHint says that a server has told a VM its limit.
+type LimitHint struct {
+	Server Incarnation
+	// Region is the server's region.
+	Region string
+	// Limit is the limit, in requests per second from all VMs, and Age the time since the
+	// server last named it.
+	Limit float64
+	Age   time.Duration
+}
+
 // RateLimiterConfig configures a RateLimiter.
 type RateLimiterConfig struct {
 	// Share returns this VM's fraction, from 0 to 1, of limits that are divided without
 	// regard to demand.
 	Share func() float64
+	// OnNews is called when a server has named a limit, here or to another VM. It may be
+	// nil.
+	OnNews func()
 }
 
 // RateLimiter keeps this VM within its part of the rate limits that backend servers in
-// need name in their replies. The part is what the VM responsible for a server has
+// need name in their replies, to it or to other VMs. The part is what the VM responsible for a server has
 // granted (see RateDivider), or without a valid grant a fixed share.
 type RateLimiter struct {
 	config RateLimiterConfig
 
 	mu      sync.Mutex
 	servers map[Incarnation]*limitedServer
+	// unlimitedAt holds when servers told this VM that they have no limit any more.
+	unlimitedAt map[Incarnation]time.Time
 	// claimsAt is when Claims was last called.
 	claimsAt time.Time
 }
 
 // limitedServer is the state of a server that names a limit.
 type limitedServer struct {
-	server shuntroute.Server
+	region string
 	limit  float64
-	// namedAt is when a reply last named the limit.
-	namedAt      time.Time
+	// namedAt is when a reply last named the limit, to this VM or, if hinted is true, to
+	// another one.
+	namedAt time.Time
+	hinted  bool
+	// sends counts how often other VMs were told.
+	sends        int
 	granted      float64
 	grantedUntil time.Time
 	tokens       float64
@@ -89,7 +115,10 @@
 
 // NewRateLimiter returns a limiter without limits.
 func NewRateLimiter(c RateLimiterConfig) *RateLimiter {
-	return &RateLimiter{config: c, servers: map[Incarnation]*limitedServer{}, claimsAt: time.Now()}
+	if c.OnNews == nil {
+		c.OnNews = func() {}
+	}
+	return &RateLimiter{config: c, servers: map[Incarnation]*limitedServer{}, unlimitedAt: map[Incarnation]time.Time{}, claimsAt: time.Now()}
 }
 
 // Limit records that a reply of the server names a limit, in requests per second from
@@ -97,25 +126,38 @@
 func (l *RateLimiter) Limit(s shuntroute.Server, perSecond float64) {
 	now := time.Now()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	r := l.servers[IncarnationOf(s)]
-	if r == nil {
-		r = &limitedServer{server: s, refilledAt: now}
-		l.servers[IncarnationOf(s)] = r
-	}
-	r.namedAt = now
-	if limit := min(max(minServerRate, perSecond), maxServerRate); limit != r.limit {
+	r := l.limited(IncarnationOf(s), s.Region, now)
+	r.namedAt, r.hinted = now, false
+	limit := min(max(minServerRate, perSecond), maxServerRate)
+	news := limit != r.limit
+	if news {
 		klog.InfoS("Backend server limits its rate", "server", s.ID, "service", s.Service, "perSecond", perSecond, "before", r.limit)
-		r.limit = limit
+		r.limit, r.sends = limit, 0
 	}
+	l.mu.Unlock()
+	if news {
+		l.config.OnNews()
+	}
+}
+
+// limited returns the state of a server that names a limit.
+func (l *RateLimiter) limited(id Incarnation, region string, now time.Time) *limitedServer {
+	r := l.servers[id]
+	if r == nil {
+		r = &limitedServer{region: region, refilledAt: now}
+		l.servers[id] = r
+	}
+	return r
 }
 
 // Unlimit records that a reply of the server names no limit.
 func (l *RateLimiter) Unlimit(s shuntroute.Server) {
+	id := IncarnationOf(s)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.servers[IncarnationOf(s)]; r != nil {
-		delete(l.servers, IncarnationOf(s))
+	if r := l.servers[id]; r != nil {
+		delete(l.servers, id)
+		l.unlimitedAt[id] = time.Now()
 		klog.InfoS("Backend server no longer limits its rate", "server", s.ID, "service", s.Service, "before", r.limit)
 	}
 }
@@ -216,7 +258,7 @@
 	for id, r := range l.servers {
 		r.demand += demandWeight * (float64(r.wanted)/elapsed.Seconds() - r.demand)
 		r.wanted = 0
-		c := RateClaim{Server: id, Region: r.server.Region, Limit: r.limit, Age: now.Sub(r.namedAt), Demand: r.demand}
+		c := RateClaim{Server: id, Region: r.region, Limit: r.limit, Age: now.Sub(r.namedAt), Demand: r.demand}
 		if now.Before(r.grantedUntil) {
 			c.Held = r.granted
 		}
@@ -242,13 +284,74 @@
 	}
 }
 
-// Prune removes servers whose limit has not been confirmed for a long time.
-func (l *RateLimiter) Prune(now time.Time) {
+// Export returns up to limit servers that name limits, for other VMs, those that were told
+// least often first.
+func (l *RateLimiter) Export(limit int) []LimitHint { return l.export(limit, math.MaxInt) }
+
+// News returns those that other VMs may not know yet.
+func (l *RateLimiter) News(limit int) []LimitHint { return l.export(limit, limitHintSends) }
+
+func (l *RateLimiter) export(limit, maxSends int) []LimitHint {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var ids []Incarnation
 	for id, r := range l.servers {
-		if now.Sub(r.namedAt) > pruneAfter {
-			delete(l.servers, id)
+		if r.sends < maxSends && now.Sub(r.namedAt) < limitHintMemory {
+			ids = append(ids, id)
 		}
 	}
+	ids = leastSent(ids, limit, func(id Incarnation) (int, time.Time) { return l.servers[id].sends, l.servers[id].namedAt })
+	out := make([]LimitHint, len(ids))
+	for i, id := range ids {
+		r := l.servers[id]
+		r.sends++
+		out[i] = LimitHint{Server: id, Region: r.region, Limit: r.limit, Age: now.Sub(r.namedAt)}
+	}
+	return out
+}
+
+// Merge adds limits that servers have told other VMs. What a server tells this VM goes
+// before.
+func (l *RateLimiter) Merge(hints []LimitHint) {
+	now := time.Now()
+	news := false
+	l.mu.Lock()
+	for _, h := range hints {
+		if h.Age >= 0 && h.Age < limitHintMemory && h.Limit > 0 {
+			news = l.merge(h, now) || news
+		}
+	}
+	l.mu.Unlock()
+	if news {
+		l.config.OnNews()
+	}
+}
+
+// merge adds one limit and reports whether that is news.
+func (l *RateLimiter) merge(h LimitHint, now time.Time) (news bool) {
+	namedAt := now.Add(-h.Age)
+	known := l.servers[h.Server]
+	if (known != nil && (!known.hinted || !namedAt.After(known.namedAt))) || !namedAt.After(l.unlimitedAt[h.Server]) {
+		return false
+	}
+	r := l.limited(h.Server, h.Region, now)
+	r.namedAt, r.hinted = namedAt, true
+	limit := min(max(minServerRate, h.Limit), maxServerRate)
+	if limit == r.limit {
+		return false
+	}
+	klog.V(1).InfoS("Backend server limits its rate, as another VM was told", "server", h.Server.ID, "perSecond", limit, "before", r.limit, "age", h.Age.Milliseconds())
+	r.limit, r.sends = limit, 0
+	return true
+}
+
+// Prune removes servers whose limit has not been confirmed for a long time.
+func (l *RateLimiter) Prune(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.servers, func(_ Incarnation, r *limitedServer) bool {
+		return now.Sub(r.namedAt) > pruneAfter || (r.hinted && now.Sub(r.namedAt) > limitHintMemory)
+	})
+	maps.DeleteFunc(l.unlimitedAt, func(_ Incarnation, at time.Time) bool { return now.Sub(at) > limitHintMemory })
 }
--- a/shuntbalance/rate_limiter_test.go
+++ b/shuntbalance/rate_limiter_test.go
@@ -152,6 +152,55 @@
 	return RateClaim{Server: Incarnation{ID: "i"}, Limit: 30, Demand: demand, Held: held}
 }
 
+// TestLimitHints checks how a VM goes by limits that servers have told others.
+func TestLimitHints(t *testing.T) {
+	s := shuntroute.Server{ID: "i", Region: "a"}
+	hint := func(limit float64, age time.Duration) LimitHint {
+		return LimitHint{Server: IncarnationOf(s), Region: "a", Limit: limit, Age: age}
+	}
+	cases := map[string]struct {
+		happen func(l *RateLimiter)
+		// want is the limit by which the VM goes; 0 means none.
+		want float64
+	}{
+		"a hint":                  {func(l *RateLimiter) { l.Merge([]LimitHint{hint(4, 0)}) }, 4},
+		"a newer hint":            {func(l *RateLimiter) { l.Merge([]LimitHint{hint(4, time.Second), hint(8, 0)}) }, 8},
+		"an older hint":           {func(l *RateLimiter) { l.Merge([]LimitHint{hint(4, 0), hint(8, time.Second)}) }, 4},
+		"an old hint":             {func(l *RateLimiter) { l.Merge([]LimitHint{hint(4, limitHintMemory)}) }, 0},
+		"no limit":                {func(l *RateLimiter) { l.Merge([]LimitHint{hint(0, 0)}) }, 0},
+		"told after a hint":       {func(l *RateLimiter) { l.Merge([]LimitHint{hint(4, 0)}); l.Limit(s, 6) }, 6},
+		"a hint after told":       {func(l *RateLimiter) { l.Limit(s, 6); l.Merge([]LimitHint{hint(4, 0)}) }, 6},
+		"ended after a hint":      {func(l *RateLimiter) { l.Merge([]LimitHint{hint(4, 0)}); l.Unlimit(s) }, 0},
+		"an older one once ended": {func(l *RateLimiter) { l.Limit(s, 6); l.Unlimit(s); l.Merge([]LimitHint{hint(4, time.Second)}) }, 0},
+		"a newer one once ended": {func(l *RateLimiter) {
+			l.Limit(s, 6)
+			l.Unlimit(s)
+			time.Sleep(time.Second)
+			l.Merge([]LimitHint{hint(4, 0)})
+		}, 4},
+		"not confirmed": {func(l *RateLimiter) {
+			l.Merge([]LimitHint{hint(4, 0)})
+			time.Sleep(limitHintMemory + time.Second)
+			l.Prune(time.Now())
+		}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := NewRateLimiter(RateLimiterConfig{Share: func() float64 { return 1 }})
+				c.happen(l)
+				got := 0.0
+				for _, h := range l.Export(1) {
+					got = h.Limit
+				}
+				if got != c.want || l.Limited(s) != (c.want > 0) {
+					t.Errorf("limit %v, limited: %v; want %v", got, l.Limited(s), c.want)
+				}
+			})
+		})
+	}
+}
+
 // TestRateDivider checks what a claim is granted after others have claimed.
 func TestRateDivider(t *testing.T) {
 	const limit, noGrant = 30.0, -1.0
--- a/shuntmember/fuzz_test.go
+++ b/shuntmember/fuzz_test.go
@@ -28,17 +28,19 @@
 	})
 }
 
-// FuzzNews checks the same of suspicions and of servers that are leaving, and that the
-// tables bear any of them.
+// FuzzNews checks the same of suspicions, of servers that are leaving and of limits that
+// servers name, and that the tables bear any of them.
 func FuzzNews(f *testing.F) {
 	guard, notices := shuntguard.New(shuntguard.Config{}), shuntbalance.NewNotices(shuntbalance.NoticesConfig{})
 	suspicions := newSuspicionExchange(guard, nil)
 	leaving := newLeavingExchange(notices, nil)
+	limits := newLimitHintExchange(shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}), nil)
 	f.Add(suspicions.datagram([]shuntguard.Suspicion{{Fingerprint: 7, Strikes: 2, Age: 3 * time.Second, Episodes: []uint32{1, 2}}, {Fingerprint: 8}}))
 	f.Add(leaving.datagram([]shuntbalance.LeavingHint{{Server: shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}, Age: time.Second}}))
+	f.Add(limits.datagram([]shuntbalance.LimitHint{{Server: shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}, Region: "a", Limit: 4.1, Age: time.Second}}))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		for _, handle := range []func([]byte) (bool, error){suspicions.handle, leaving.handle} {
-			if _, err := handle(b); err != nil {
+		for _, s := range []spreader{suspicions, leaving, limits} {
+			if _, err := s.handle(b); err != nil {
 				return
 			}
 		}
@@ -46,6 +48,8 @@
 		roundTrip(t, readAll(in, (*reader).briefSuspicion), in.err, appendSuspicion, (*reader).briefSuspicion)
 		in = &reader{rest: b[min(1, len(b)):]}
 		roundTrip(t, readAll(in, (*reader).leaving), in.err, appendLeaving, (*reader).leaving)
+		in = &reader{rest: b[min(1, len(b)):]}
+		roundTrip(t, readAll(in, (*reader).limitHint), in.err, appendLimitHint, (*reader).limitHint)
 	})
 }
 
--- a/shuntmember/limits.go
+++ b/shuntmember/limits.go
@@ -17,8 +17,9 @@
 	grantsVersion = 3
 )
 
-// RateLimits holds the limits that backend servers have named.
+// RateLimits holds the limits that backend servers have named, to this VM or to others.
 type RateLimits interface {
+	NewsTable[shuntbalance.LimitHint]
 	// Claims returns what this VM claims of them.
 	Claims(now time.Time) []shuntbalance.RateClaim
 	// Grant puts a grant into force.
--- a/shuntmember/limits_test.go
+++ b/shuntmember/limits_test.go
@@ -22,11 +22,16 @@
 	list     *MemberList
 	limiter  *shuntbalance.RateLimiter
 	exchange *limitExchange
+	hints    *newsExchange[shuntbalance.LimitHint]
+	// news is true while there is something that the VM has not told others.
+	news     bool
 	snapshot *Snapshot
 	started  time.Time
 	// demand is the number of requests per second to the server.
 	demand  float64
 	running bool
+	// deaf is true if the VM gives up its requests before the server answers.
+	deaf bool
 }
 
 // limitFleet is a fleet of VMs in virtual time that send to one backend server. Only
@@ -69,10 +74,15 @@
 		v.demand = f.vms[i].demand
 	}
 	v.snapshot = v.list.Snapshot(time.Now(), 0)
-	v.limiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return v.snapshot.Share() }})
-	v.exchange = &limitExchange{
-		self: self.Address, limits: v.limiter, divider: shuntbalance.NewRateDivider(), snapshot: func() *Snapshot { return v.snapshot },
-		send: func(b []byte, to netip.AddrPort) { f.deliver(i, to, b) },
+	v.limiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return v.snapshot.Share() }, OnNews: func() { v.news = true }})
+	snapshot := func() *Snapshot { return v.snapshot }
+	send := func(b []byte, to netip.AddrPort) { f.deliver(i, to, b) }
+	v.exchange = &limitExchange{self: self.Address, limits: v.limiter, divider: shuntbalance.NewRateDivider(), snapshot: snapshot, send: send}
+	v.hints = newLimitHintExchange(v.limiter, snapshot)
+	v.hints.send = send
+	v.hints.sample = func(from []netip.AddrPort, count int) []netip.AddrPort {
+		f.random.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+		return from[:min(count, len(from))]
 	}
 	f.vms[i] = v
 }
@@ -83,12 +93,15 @@
 	f.pending[at] = append(f.pending[at], run)
 }
 
-// deliver delivers a datagram with claims or grants.
+// deliver delivers a datagram with claims, grants or hints.
 func (f *limitFleet) deliver(from int, to netip.AddrPort, b []byte) {
 	for i, v := range f.vms {
 		if v.list.Self().Address == to && !f.cut(from, i) {
 			f.after(limitDelay, func() {
-				if v.running {
+				if !v.running {
+					return
+				}
+				if ok, _ := v.hints.handle(b); !ok {
 					_, _ = v.exchange.handle(vm(from), b, time.Now())
 				}
 			})
@@ -103,7 +116,9 @@
 	v.list.Expire(v.snapshot.preferredVMs(), now)
 	reports := v.list.ReportsToSend(v.snapshot.preferredVMs(), maxOtherReports)
 	for _, to := range f.random.Perm(len(f.vms))[:min(3, len(f.vms))] {
-		if other := f.vms[to]; to != i && !f.cut(i, to) {
+		other := f.vms[to]
+		v.hints.tellSome([]netip.AddrPort{other.list.Self().Address})
+		if to != i && !f.cut(i, to) {
 			f.after(limitDelay, func() {
 				if other.running {
 					other.list.Merge(reports, time.Now())
@@ -135,6 +150,9 @@
 			if age%shuntbalance.ClaimInterval == 0 {
 				v.exchange.claim(now)
 			}
+			if age%newsInterval == 0 && v.news {
+				v.news = v.hints.tellNews()
+			}
 			if f.random.Float64() < v.demand*limitStep.Seconds() && v.limiter.Take(f.server) {
 				f.request(v)
 			}
@@ -146,6 +164,9 @@
 func (f *limitFleet) request(v *limitVM) {
 	f.arrivals = append(f.arrivals, time.Now())
 	f.after(limitDelay, func() {
+		if v.deaf {
+			return
+		}
 		if f.limit > 0 {
 			v.limiter.Limit(f.server, f.limit)
 		} else {
@@ -271,7 +292,10 @@
 		"all VMs restart":                  {demand: near, happen: func(f *limitFleet) { f.eachVM(func(i int, _ *limitVM) { f.start(i) }) }, used: most},
 		"a VM starts while cut off":        {demand: near, happen: func(f *limitFleet) { f.startCutOff(3, 9*time.Second) }, used: most},
 		"the dividing VM stops and starts": {demand: func(int) float64 { return 10 }, happen: (*limitFleet).restartDivider, used: most},
-		"half are cut off":                 {demand: near, happen: func(f *limitFleet) { f.cut = half }, used: 0.3},
+		"traffic moves to VMs that get no answers": {demand: near, happen: func(f *limitFleet) {
+			f.eachVM(func(i int, v *limitVM) { v.demand, v.deaf = near(i+1), !fromRegion(i) })
+		}, used: 0.3},
+		"half are cut off": {demand: near, happen: func(f *limitFleet) { f.cut = half }, used: 0.3},
 		"cut and healed": {demand: near, happen: func(f *limitFleet) {
 			f.cut = half
 			f.after(6*time.Second, func() { f.cut = func(int, int) bool { return false } })
--- a/shuntmember/news.go
+++ b/shuntmember/news.go
@@ -22,6 +22,14 @@
 	Merge(in []T)
 }
 
+// spreader is a newsExchange of any kind of things.
+type spreader interface {
+	run(ctx context.Context)
+	tellSome(to []netip.AddrPort)
+	tellNewcomer(to []netip.AddrPort)
+	handle(b []byte) (ok bool, err error)
+}
+
 // newsExchange spreads the contents of a table among the VMs.
 type newsExchange[T any] struct {
 	// version is the first byte of the datagrams.
@@ -93,6 +101,12 @@
 	return true
 }
 
+// tellSome sends some things to the VMs that get a heartbeat.
+func (x *newsExchange[T]) tellSome(to []netip.AddrPort) { x.tell(to, x.maxTold) }
+
+// tellNewcomer sends things to a VM that has just started.
+func (x *newsExchange[T]) tellNewcomer(to []netip.AddrPort) { x.tell(to, x.maxJoin) }
+
 // tell sends up to limit things to the VMs, if there are any.
 func (x *newsExchange[T]) tell(to []netip.AddrPort, limit int) {
 	if len(to) == 0 {
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -77,10 +77,13 @@
 	limits     *limitExchange
 	suspicions *newsExchange[shuntguard.Suspicion]
 	leaving    *newsExchange[shuntbalance.LeavingHint]
-	updates    chan func(*MemberList)
-	snapshot   atomic.Pointer[Snapshot]
-	socket     *net.UDPConn
-	listener   net.Listener
+	limitHints *newsExchange[shuntbalance.LimitHint]
+	// spreaders holds the three exchanges of news.
+	spreaders []spreader
+	updates   chan func(*MemberList)
+	snapshot  atomic.Pointer[Snapshot]
+	socket    *net.UDPConn
+	listener  net.Listener
 }
 
 // NewNode returns a Node that has not started.
@@ -92,6 +95,9 @@
 	n.suspicions.sample, n.suspicions.send = n.sample, sendTo
 	n.leaving = newLeavingExchange(c.Notices, n.Snapshot)
 	n.leaving.sample, n.leaving.send = n.sample, sendTo
+	n.limitHints = newLimitHintExchange(c.RateLimits, n.Snapshot)
+	n.limitHints.sample, n.limitHints.send = n.sample, sendTo
+	n.spreaders = []spreader{n.suspicions, n.leaving, n.limitHints}
 	n.snapshot.Store(n.newMemberList().Snapshot(time.Now(), 0))
 	return n
 }
@@ -129,8 +135,9 @@
 	n.config.Group.Go(func() { n.receive(ctx) })
 	n.config.Group.Go(func() { n.run(ctx) })
 	n.config.Group.Go(func() { n.claimLimits(ctx) })
-	n.config.Group.Go(func() { n.suspicions.run(ctx) })
-	n.config.Group.Go(func() { n.leaving.run(ctx) })
+	for _, s := range n.spreaders {
+		n.config.Group.Go(func() { s.run(ctx) })
+	}
 	n.config.Group.Go(func() { n.serveState(ctx) })
 	return nil
 }
@@ -141,6 +148,9 @@
 // LeavingChanged makes the node tell the other VMs soon which servers are leaving.
 func (n *Node) LeavingChanged() { n.leaving.signal() }
 
+// LimitsChanged makes the node tell the other VMs soon which limits servers have named.
+func (n *Node) LimitsChanged() { n.limitHints.signal() }
+
 // Update applies u, which changes this VM's own report, to the member list.
 // Changes that are urgent are sent immediately. If too many updates are queued,
 // u is dropped.
@@ -202,8 +212,9 @@
 func (n *Node) sendReports(l *MemberList, heartbeats int, urgent bool) {
 	targets := n.targets(l, heartbeats, urgent)
 	n.send(n.encodeReports(l), targets)
-	n.suspicions.tell(targets, n.suspicions.maxTold)
-	n.leaving.tell(targets, n.leaving.maxTold)
+	for _, s := range n.spreaders {
+		s.tellSome(targets)
+	}
 }
 
 func (n *Node) encodeReports(l *MemberList) []byte {
@@ -267,11 +278,10 @@
 
 func (n *Node) handleDatagram(ctx context.Context, from netip.AddrPort, b []byte) {
 	handled, err := n.limits.handle(from, b, time.Now())
-	if !handled {
-		handled, err = n.suspicions.handle(b)
-	}
-	if !handled {
-		handled, err = n.leaving.handle(b)
+	for _, s := range n.spreaders {
+		if !handled {
+			handled, err = s.handle(b)
+		}
 	}
 	var suspicions []shuntguard.Suspicion
 	var reports []Report
@@ -300,7 +310,8 @@
 	if joins {
 		to := []netip.AddrPort{reports[0].Address}
 		n.send(n.encodeReports(l), to)
-		n.suspicions.tell(to, n.suspicions.maxJoin)
-		n.leaving.tell(to, n.leaving.maxJoin)
+		for _, s := range n.spreaders {
+			s.tellNewcomer(to)
+		}
 	}
 }
--- a/shuntmember/suspicions.go
+++ b/shuntmember/suspicions.go
@@ -10,10 +10,11 @@
 )
 
 // Versions of the datagrams in which VMs tell each other which requests are suspected of
-// crashing backend servers, and which servers are leaving.
+// crashing backend servers, which servers are leaving, and which name a limit.
 const (
 	suspicionsVersion = 4
 	leavingVersion    = 5
+	limitHintsVersion = 6
 )
 
 // Limits of the numbers of things in a datagram.
@@ -23,6 +24,8 @@
 	maxJoinSuspicions = 60
 	maxLeaving        = 8
 	maxJoinLeaving    = 40
+	maxLimitHints     = 8
+	maxJoinLimitHints = 40
 )
 
 // newSuspicionExchange returns an exchange of suspicions. What a VM has observed itself
@@ -47,6 +50,14 @@
 	}
 }
 
+// newLimitHintExchange returns an exchange of the limits that servers have named.
+func newLimitHintExchange(table NewsTable[shuntbalance.LimitHint], snapshot func() *Snapshot) *newsExchange[shuntbalance.LimitHint] {
+	return &newsExchange[shuntbalance.LimitHint]{
+		version: limitHintsVersion, table: table, encode: appendLimitHint, decode: (*reader).limitHint,
+		maxNews: maxNews, maxTold: maxLimitHints, maxJoin: maxJoinLimitHints, snapshot: snapshot, news: make(chan struct{}, 1),
+	}
+}
+
 // suspectName is the name of a suspect by which a VM is chosen to be in charge of it.
 func suspectName(fingerprint uint64) string { return "suspect " + strconv.FormatUint(fingerprint, 16) }
 
@@ -77,3 +88,12 @@
 func (r *reader) leaving() shuntbalance.LeavingHint {
 	return shuntbalance.LeavingHint{Server: r.server(), Age: r.milliseconds()}
 }
+
+func appendLimitHint(b []byte, h shuntbalance.LimitHint) []byte {
+	b = appendRate(appendString(appendServer(b, h.Server), h.Region), h.Limit)
+	return binary.AppendUvarint(b, uint64(h.Age.Milliseconds()))
+}
+
+func (r *reader) limitHint() shuntbalance.LimitHint {
+	return shuntbalance.LimitHint{Server: r.server(), Region: r.text(), Limit: r.rate(), Age: r.milliseconds()}
+}
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -139,7 +139,7 @@
 	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Random: r.random, OnNews: func() { r.node.LeavingChanged() }})
 	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
 	r.ending, r.endRequests = context.WithCancel(context.Background())
-	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }})
+	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }, OnNews: func() { r.node.LimitsChanged() }})
 	registerGauges(c.Metrics, r)
 	r.node = shuntmember.NewNode(shuntmember.Config{
 		Address: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
