After a pause, VMs come back to a server in turn instead of at random times

No accident of load: six independent random times within 0.4 s are close together now and then (three or more of six within 0.1 s in a sixth of all cases).

Found by reading: a request that had begun before the pause ended the trial after it when it ended, so that all could go out before the first was answered. TestReturnAfterPause checks both, and is stricter: 20 VMs at 20 times instead of 10.

--- a/shuntbalance/notices.go
+++ b/shuntbalance/notices.go
@@ -9,7 +9,6 @@
 
 	"k8s.io/klog/v2"
 
-	"mulberryshunt.example/mulberryshunt/shuntrandom"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
@@ -17,9 +16,9 @@
 	// maxPause bounds the time for which a server may want nothing: one answer must not
 	// take it out for ever.
 	maxPause = 2 * time.Minute
-	// resumeJitter is the time over which VMs come back to a server after a pause, so that
-	// it does not get the first requests of all at once.
-	resumeJitter = 400 * time.Millisecond
+	// resumeSpread is the time over which VMs come back to a server after a pause, one
+	// after the other, so that it does not get the first requests of all at once.
+	resumeSpread = 400 * time.Millisecond
 	// leavingMargin is how long before the end of the drain time a leaving server gets its
 	// last request.
 	leavingMargin = 500 * time.Millisecond
@@ -56,7 +55,9 @@
 	// DrainTime is how long after a server has said that it is leaving it may get
 	// requests.
 	DrainTime time.Duration
-	Random    *shuntrandom.Source
+	// Turn returns this VM's place, from 0 to below 1, in the order in which VMs come back
+	// to a server after a pause. If nil, this VM is the first.
+	Turn func(server string) float64
 	// OnNews is called when a server has said that it is leaving, here or to another VM.
 	// It may be nil.
 	OnNews func()
@@ -76,10 +77,10 @@
 	// when it told another one.
 	leavingAt time.Time
 	hintedAt  time.Time
-	// resumesAt is when a pause is over; zero if there is none. trying is true while the
-	// first request after it is open.
+	// resumesAt is when a pause is over; zero if there is none. triedAt is when the first
+	// request after it was allowed; zero if none is open.
 	resumesAt time.Time
-	trying    bool
+	triedAt   time.Time
 	// misunderstood is true once that has been logged.
 	misunderstood bool
 	updatedAt     time.Time
@@ -92,8 +93,8 @@
 	if c.OnNews == nil {
 		c.OnNews = func() {}
 	}
-	if c.Random == nil {
-		c.Random = shuntrandom.New(0)
+	if c.Turn == nil {
+		c.Turn = func(string) float64 { return 0 }
 	}
 	return &Notices{config: c, servers: map[Incarnation]*notice{}}
 }
@@ -156,7 +157,7 @@
 	if !until.After(r.resumesAt) {
 		return
 	}
-	r.resumesAt = until.Add(n.config.Random.Duration(resumeJitter))
+	r.resumesAt = until.Add(time.Duration(n.config.Turn(s.ID) * float64(resumeSpread)))
 	klog.InfoS("Backend server wants no requests", "server", s.ID, "service", s.Service, "for", d.Milliseconds(), "resumes", r.resumesAt.Sub(now).Milliseconds())
 }
 
@@ -186,7 +187,7 @@
 		return Closed, WhyLeaving, time.Time{}
 	case now.Before(r.resumesAt):
 		return Closed, WhyPaused, r.resumesAt
-	case r.trying:
+	case !r.triedAt.IsZero():
 		return Closed, WhyPaused, time.Time{}
 	case leaving == LastResort:
 		return LastResort, WhyLeaving, time.Time{}
@@ -215,23 +216,24 @@
 	if r == nil || r.resumesAt.IsZero() {
 		return true
 	}
-	if r.trying || time.Now().Before(r.resumesAt) {
+	now := time.Now()
+	if !r.triedAt.IsZero() || now.Before(r.resumesAt) {
 		return false
 	}
-	r.trying = true
+	r.triedAt = now
 	return true
 }
 
-// End records the end of a request that Take has allowed. sent is false if it did not
-// reach the server.
-func (n *Notices) End(id Incarnation, sent bool) {
+// End records the end of a request that Take has allowed and that was begun at the given
+// time. sent is false if it did not reach the server.
+func (n *Notices) End(id Incarnation, begun time.Time, sent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := n.servers[id]
-	if r == nil || !r.trying {
+	if r == nil || r.triedAt.IsZero() || begun.Before(r.triedAt) {
 		return
 	}
-	r.trying = false
+	r.triedAt = time.Time{}
 	if sent && !time.Now().Before(r.resumesAt) {
 		r.resumesAt = time.Time{}
 	}
--- a/shuntbalance/notices_test.go
+++ b/shuntbalance/notices_test.go
@@ -40,17 +40,17 @@
 		"another VM was wrong":       {func(n *Notices) { hint(n, time.Second); time.Sleep(time.Second); says(n, false) }, Open},
 		"told after a hint":          {func(n *Notices) { hint(n, 2*testDrainTime); says(n, true) }, LastResort},
 		"a pause":                    {func(n *Notices) { n.Pause(noticingServer, time.Second) }, Closed},
-		"after a pause":              {func(n *Notices) { n.Pause(noticingServer, time.Second); time.Sleep(time.Second + resumeJitter) }, Open},
+		"after a pause":              {func(n *Notices) { n.Pause(noticingServer, time.Second); time.Sleep(time.Second + resumeSpread) }, Open},
 		"a shorter pause after a long one": {func(n *Notices) {
 			n.Pause(noticingServer, 10*time.Second)
 			n.Pause(noticingServer, time.Second)
 			time.Sleep(2 * time.Second)
 		}, Closed},
-		"a pause of centuries": {func(n *Notices) { n.Pause(noticingServer, 1<<62); time.Sleep(maxPause + resumeJitter) }, Open},
+		"a pause of centuries": {func(n *Notices) { n.Pause(noticingServer, 1<<62); time.Sleep(maxPause + resumeSpread) }, Open},
 		"a pause of a leaving server": {func(n *Notices) {
 			says(n, true)
 			n.Pause(noticingServer, time.Second)
-			time.Sleep(time.Second + resumeJitter)
+			time.Sleep(time.Second + resumeSpread)
 		}, LastResort},
 	}
 	for name, c := range cases {
@@ -77,32 +77,37 @@
 	synctest.Test(t, func(t *testing.T) {
 		id := IncarnationOf(noticingServer)
 		times := map[time.Time]bool{}
-		for range 20 {
-			n := NewNotices(NoticesConfig{DrainTime: testDrainTime})
+		const vms = 20
+		for i := range vms {
+			n := NewNotices(NoticesConfig{DrainTime: testDrainTime, Turn: func(string) float64 { return float64(i) / vms }})
 			n.Pause(noticingServer, time.Second)
 			_, _, until := n.Standing(id)
-			if left := time.Until(until); left < time.Second || left > time.Second+resumeJitter {
+			if left := time.Until(until); left < time.Second || left > time.Second+resumeSpread {
 				t.Fatalf("comes back after %v", left)
 			}
 			times[until] = true
 		}
-		if len(times) < 10 {
-			t.Errorf("20 VMs come back at %d different times", len(times))
+		if len(times) != vms {
+			t.Errorf("%d VMs come back at %d different times", vms, len(times))
 		}
 		n := NewNotices(NoticesConfig{DrainTime: testDrainTime})
 		n.Pause(noticingServer, time.Second)
 		if n.Take(id) {
 			t.Error("a request may go out in the pause")
 		}
-		time.Sleep(time.Second + resumeJitter)
+		time.Sleep(time.Second + resumeSpread)
 		if !n.Take(id) || n.Take(id) {
 			t.Error("after the pause not exactly one request may go out")
 		}
-		n.End(id, false)
+		n.End(id, time.Now(), false)
 		if !n.Take(id) || n.Take(id) {
 			t.Error("after a request that was not sent not exactly one may go out")
 		}
-		n.End(id, true)
+		n.End(id, time.Now().Add(-time.Second), true)
+		if n.Take(id) {
+			t.Error("after the end of an earlier request another one may go out")
+		}
+		n.End(id, time.Now(), true)
 		if !n.Take(id) || !n.Take(id) {
 			t.Error("after the first answer not all requests may go out")
 		}
--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -481,7 +481,7 @@
 	case cold && !c.ColdLimiter.Allow(id, c.ColdRate(r.call.Service)):
 	case !c.Notices.Take(id):
 	case r.call.SingleServer && !c.CrashDetector.BeginTrial(s.ID):
-		c.Notices.End(id, false)
+		c.Notices.End(id, time.Now(), false)
 	default:
 		return true
 	}
@@ -493,7 +493,7 @@
 func (r *call) giveBack(s shuntroute.Server) {
 	c := r.caller.config
 	c.RateLimiter.Refund(s)
-	c.Notices.End(shuntbalance.IncarnationOf(s), false)
+	c.Notices.End(shuntbalance.IncarnationOf(s), time.Now(), false)
 	if r.call.SingleServer {
 		c.CrashDetector.EndTrial(s.ID)
 	}
@@ -516,7 +516,7 @@
 		// The pause is enough; after it the server is as good as before.
 		result = shuntbalance.Inconclusive
 	}
-	c.config.Notices.End(shuntbalance.IncarnationOf(s), sent)
+	c.config.Notices.End(shuntbalance.IncarnationOf(s), started, sent)
 	if in.SingleServer {
 		c.config.CrashDetector.EndTrial(s.ID)
 	}
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -50,6 +50,30 @@
 	return r.Snapshot(now, settledAge)
 }
 
+// TestTurn checks that VMs have turns that are spread evenly, and differ from name to name.
+func TestTurn(t *testing.T) {
+	const vms = 8
+	reports := newReports(vms, equalCapacity)
+	orders := map[string]bool{}
+	for _, name := range []string{"i-1", "i-2", "i-3"} {
+		var turns []float64
+		for i := range reports {
+			turns = append(turns, snapshotOf(i, reports).Turn(name))
+		}
+		orders[fmt.Sprint(turns)] = true
+		slices.Sort(turns)
+		for i, got := range turns {
+			if want := float64(i) / vms; got != want {
+				t.Errorf("%s: turns %v", name, turns)
+				break
+			}
+		}
+	}
+	if len(orders) != 3 {
+		t.Errorf("%d orders for 3 servers", len(orders))
+	}
+}
+
 // TestStartedAlone checks that a VM that has heard from no other one since it started
 // leaves room for others, for as long as they would for it.
 func TestStartedAlone(t *testing.T) {
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -435,6 +435,20 @@
 	return out
 }
 
+// Turn returns this VM's place, from 0 to below 1, in an order of the VMs that are alive.
+// The order depends on the name, and VMs that know the same ones agree on it.
+func (s *Snapshot) Turn(name string) float64 {
+	own := weight(s.self, name)
+	before, all := 0, 1
+	for _, vm := range s.others() {
+		all++
+		if weight(vm, name) > own {
+			before++
+		}
+	}
+	return float64(before) / float64(all)
+}
+
 // heaviest returns the VM with the greatest weight for the name, by which VMs that know
 // the same ones agree on one of them. It returns the zero value if there are none.
 func heaviest(vms iter.Seq[netip.AddrPort], name string) netip.AddrPort {
@@ -448,6 +462,7 @@
 	return best
 }
 
+// weight returns the weight of a VM for the name.
 func weight(a netip.AddrPort, name string) uint64 { return xxhash.Sum64String(name + " " + a.String()) }
 
 // Entries returns the VMs that callers are sent to: those of the first of the
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -136,7 +136,7 @@
 		metrics:          newRouterMetrics(c.Metrics),
 		conns:            newCallerConns(),
 	}
-	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Random: r.random, OnNews: func() { r.node.LeavingChanged() }})
+	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Turn: func(server string) float64 { return r.node.Snapshot().Turn(server) }, OnNews: func() { r.node.LeavingChanged() }})
 	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
 	r.ending, r.endRequests = context.WithCancel(context.Background())
 	r.rateLimiter = shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{Share: func() float64 { return r.node.Share() }, OnNews: func() { r.node.LimitsChanged() }})
