shuntcall: a shard that reaches no other server does not let the others of its query retry

When shards of a query lose their connections, one retries first and the others follow if it was answered. If that one ended without having reached another server, the others followed too, as if it had been answered (TestRetriesOfBrokenShards/some are alone: 13 servers for 12 allowed). The next one decides now; TestRetryGate has both cases.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -215,8 +215,8 @@
 	lost bool
 	// unreachable is true while all attempts have failed to reach their server.
 	unreachable bool
-	// firstRetry is true while this call is the one that the gate has let through first.
-	firstRetry bool
+	// decides is true while this call is the one for which others wait at the gate.
+	decides bool
 	last       attemptResult
 	hasLast    bool
 }
@@ -236,7 +236,7 @@
 }
 
 func (r *call) loop(first shuntroute.Server) Result {
-	defer func() { r.leaveGate(false) }()
+	defer r.leaveGate(gateOpen)
 	hedge := r.hedgeTimer(first)
 	defer hedge.Stop()
 	for {
@@ -306,15 +306,18 @@
 // handleResult processes the result of one attempt and reports whether the call is
 // over.
 func (r *call) handleResult(e attemptResult) (Result, bool) {
+	switch e.outcome.Status {
+	case shuntupstream.Answered, shuntupstream.Declined:
+		r.leaveGate(gateAnswered)
+	case shuntupstream.Broken:
+		r.leaveGate(gateBroken)
+	}
 	if e.outcome.Status == shuntupstream.Answered && r.isSuccess(e.outcome.Reply) {
 		return Result{Status: Served, Reply: e.outcome.Reply, HasReply: true, Server: e.server.ID, Attempts: r.attempts, Latency: time.Since(e.started)}, true
 	}
 	r.last, r.hasLast = e, true
 	r.unreachable = r.unreachable && e.outcome.Status == shuntupstream.NotSent
 	r.count(e)
-	if r.firstRetry && e.outcome.Status == shuntupstream.Broken && r.attempts > 1 {
-		r.leaveGate(true)
-	}
 	klog.InfoS("Attempt failed", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", e.server.ID,
 		"status", e.outcome.Status, "code", e.outcome.Reply.Code, "reason", errorText(e.outcome.Err), "after", time.Since(e.started).Milliseconds(), "asked", r.attempts)
 	if e.outcome.Status == shuntupstream.Answered && isFinal(e.outcome.Reply) {
@@ -375,7 +378,7 @@
 	}
 	free := e.outcome.Status == shuntupstream.NotSent || e.outcome.Status == shuntupstream.NoRoom
 	s, ok := r.choose(true)
-	mayRetry := (e.outcome.Status != shuntupstream.Broken || r.enterGate()) && (free || r.takeBudget(0))
+	mayRetry := (e.outcome.Status != shuntupstream.Broken || !ok || r.enterGate()) && (free || r.takeBudget(0))
 	if ok && !mayRetry {
 		r.giveBack(s)
 	}
@@ -403,16 +406,16 @@
 // enterGate reports whether another server may be tried after a connection broke, as far
 // as the other shards of the query are concerned.
 func (r *call) enterGate() bool {
-	first, ok := r.call.gate.enter(r.ctx)
-	r.firstRetry = first
+	decides, ok := r.call.gate.enter(r.ctx)
+	r.decides = decides
 	return ok
 }
 
-// leaveGate lets the other shards of the query go on, if they wait for this one.
-func (r *call) leaveGate(broken bool) {
-	if r.firstRetry {
-		r.firstRetry = false
-		r.call.gate.leave(broken)
+// leaveGate tells the other shards of the query how this one has ended, if they wait for it.
+func (r *call) leaveGate(v gateVerdict) {
+	if r.decides {
+		r.decides = false
+		r.call.gate.leave(v)
 	}
 }
 
--- a/shuntcall/guard_test.go
+++ b/shuntcall/guard_test.go
@@ -160,11 +160,14 @@
 	cases := map[string]struct {
 		target string
 		first  behavior
+		// alone is the number of shards whose second server can't be reached.
+		alone  int
 		status CallStatus
 		most   int
 	}{
-		"the query crashes servers": {crashTarget, behavior{after: fast}, Faulted, shards + int(gatedFraction*shards)},
-		"a zone is lost":            {"/", behavior{broken: true, after: time.Millisecond}, Served, 0},
+		"the query crashes servers": {crashTarget, behavior{after: fast}, 0, Faulted, shards + int(gatedFraction*shards)},
+		"some are alone":            {crashTarget, behavior{after: 2 * fast}, 5, Faulted, shards + int(gatedFraction*shards)},
+		"a zone is lost":            {"/", behavior{broken: true, after: time.Millisecond}, 0, Served, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -174,6 +177,10 @@
 				name := fmt.Sprintf("s%d", i)
 				route.Shards = append(route.Shards, name)
 				services[name] = map[string]behavior{"a": c.first, "b": {after: fast, region: "there"}}
+				if i < c.alone {
+					// These break first.
+					services[name] = map[string]behavior{"a": {after: fast}, "b": {unreachable: true, region: "there"}}
+				}
 			}
 			run(t, services, func(t *testing.T, w *testCluster) {
 				start := time.Now()
@@ -235,30 +242,30 @@
 }
 
 // enterAll has ten shards enter a gate at the same time, and returns how many pass and are
-// the first, and when the last one leaves it.
-func enterAll(t *testing.T, g *retryGate, decide func(g *retryGate)) (passed, firsts int, at time.Duration) {
+// to decide, and when the last one leaves it.
+func enterAll(t *testing.T, g *retryGate, decide func(g *retryGate)) (passed, deciding int, at time.Duration) {
 	t.Helper()
 	begun := time.Now()
 	var mu sync.Mutex
 	var group shuntgroup.Group
 	for range 10 {
 		group.Go(func() {
-			first, ok := g.enter(t.Context())
+			decides, ok := g.enter(t.Context())
 			mu.Lock()
 			defer mu.Unlock()
 			at = max(at, time.Since(begun))
 			if ok {
 				passed++
 			}
-			if first {
-				firsts++
+			if decides {
+				deciding++
 			}
 		})
 	}
 	time.Sleep(fast)
 	decide(g)
 	group.Close()
-	return passed, firsts, at
+	return passed, deciding, at
 }
 
 // TestRetryGate checks which shards of a query may try another server, and when.
@@ -268,22 +275,29 @@
 		shards int
 		// decide is called after a while.
 		decide func(g *retryGate)
-		// passed is the number of 10 shards that get through, and at when the last does.
-		passed int
-		at     time.Duration
+		// passed is the number of 10 shards that get through, deciding the number of those
+		// for which others wait, and at when the last does.
+		passed, deciding int
+		at               time.Duration
 	}{
-		"the first one is answered":   {10, func(g *retryGate) { g.leave(false) }, 10, fast},
-		"the first one breaks":        {10, func(g *retryGate) { g.leave(true) }, 2, fast},
-		"the first one takes long":    {10, func(*retryGate) {}, 10, wait},
-		"few of many shards":          {100, func(*retryGate) {}, 10, 0},
-		"all shards of a small query": {5, func(g *retryGate) { g.leave(true) }, 1, fast},
+		"the first one is answered":   {10, func(g *retryGate) { g.leave(gateAnswered) }, 10, 1, fast},
+		"the first one breaks":        {10, func(g *retryGate) { g.leave(gateBroken) }, 2, 1, fast},
+		"the first one takes long":    {10, func(*retryGate) {}, 10, 1, wait},
+		"few of many shards":          {100, func(*retryGate) {}, 10, 1, 0},
+		"all shards of a small query": {5, func(g *retryGate) { g.leave(gateBroken) }, 1, 1, fast},
+		"the first one reaches none":  {10, func(g *retryGate) { g.leave(gateOpen) }, 10, 2, wait},
+		"the second one breaks": {10, func(g *retryGate) {
+			g.leave(gateOpen)
+			time.Sleep(time.Millisecond)
+			g.leave(gateBroken)
+		}, 3, 2, fast + time.Millisecond},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				passed, firsts, at := enterAll(t, newRetryGate(wait, c.shards), c.decide)
-				if passed != c.passed || at != c.at || firsts != 1 {
-					t.Errorf("%d pass, the last after %v, %d first; want %d after %v, 1 first", passed, at, firsts, c.passed, c.at)
+				passed, deciding, at := enterAll(t, newRetryGate(wait, c.shards), c.decide)
+				if passed != c.passed || at != c.at || deciding != c.deciding {
+					t.Errorf("%d pass, the last after %v, %d decide; want %d after %v, %d", passed, at, deciding, c.passed, c.at, c.deciding)
 				}
 			})
 		})
