--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -217,8 +217,8 @@
 	unreachable bool
 	// decides is true while this call is the one for which others wait at the gate.
 	decides bool
-	last       attemptResult
-	hasLast    bool
+	last    attemptResult
+	hasLast bool
 }
 
 // Do runs the call until it succeeds, cannot succeed, or ctx ends.
