shuntmember: changes of a VM's own report are not lost among what datagrams bring

A change (this VM is leaving, has lost its links to the backend servers, serves, follows the store) was dropped with a log line when 64 updates were queued, as after a freeze or a flood of datagrams, and most are made only once: the others would go on naming it to callers, for RECOVER the very thing to avoid. TestOwnChangesKept failed before.

--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -438,6 +438,52 @@
 	}
 }
 
+// startNode starts node i of a fleet. All nodes of a fleet use the same port, so they need
+// different addresses; the first one is the seed.
+func startNode(ctx context.Context, t *testing.T, group *shuntgroup.Group, fleet byte, i int) *Node {
+	t.Helper()
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, fleet, byte(i + 1)}), 17360)
+	}
+	n := NewNode(Config{
+		Address: address(i), Zone: "a0", Capacity: 400, RegionOf: regionOf, Group: group, Random: shuntrandom.New(uint64(i + 1)),
+		Seeds:      func() []netip.AddrPort { return []netip.AddrPort{address(0)} },
+		Guard:      shuntguard.New(shuntguard.Config{}),
+		Notices:    shuntbalance.NewNotices(shuntbalance.NoticesConfig{}),
+		RateLimits: shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}),
+		ChangesSince: func(int64) shuntcatalog.Delta {
+			return shuntcatalog.Delta{State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{{Key: "k", Revision: 9, Value: []byte("v")}}}}
+		},
+	})
+	if err := n.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// TestOwnChangesKept checks that a VM makes and tells a change of its own report, however many
+// datagrams have come in before.
+func TestOwnChangesKept(t *testing.T) {
+	var group shuntgroup.Group
+	ctx, cancel := context.WithCancel(context.Background())
+	defer group.Close()
+	defer cancel()
+	busy, other := startNode(ctx, t, &group, 8, 0), startNode(ctx, t, &group, 8, 1)
+	waitFor(t, "both know each other", func() bool {
+		return len(busy.Snapshot().regions["a"]) == 2 && len(other.Snapshot().regions["a"]) == 2
+	})
+	release := make(chan struct{})
+	busy.received <- func(*MemberList) { <-release }
+	for len(busy.received) < cap(busy.received) {
+		busy.received <- func(*MemberList) {}
+	}
+	busy.Update(func(l *MemberList) { l.SetLinksLost(true) })
+	close(release)
+	waitFor(t, "the other one hears of the change", func() bool {
+		return slices.ContainsFunc(other.Snapshot().regions["a"], func(r Report) bool { return r.LinksLost })
+	})
+}
+
 // TestNodes checks that nodes on loopback addresses find each other through one
 // seed, and that a node that leaves is removed.
 func TestNodes(t *testing.T) {
@@ -446,25 +492,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var nodes []*Node
 	for i := range count {
-		// All nodes of a fleet use the same port, so they need different
-		// addresses.
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 7, byte(i + 1)}), 17360)
-		n := NewNode(Config{
-			Address: address, Zone: "a0", Capacity: 400, RegionOf: regionOf, Group: &group, Random: shuntrandom.New(uint64(i + 1)),
-			Seeds: func() []netip.AddrPort {
-				return []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 7, 1}), 17360)}
-			},
-			Guard:      shuntguard.New(shuntguard.Config{}),
-			Notices:    shuntbalance.NewNotices(shuntbalance.NoticesConfig{}),
-			RateLimits: shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}),
-			ChangesSince: func(int64) shuntcatalog.Delta {
-				return shuntcatalog.Delta{State: shuntcatalog.State{Revision: 9, Records: []shuntcatalog.Record{{Key: "k", Revision: 9, Value: []byte("v")}}}}
-			},
-		})
-		if err := n.Start(ctx); err != nil {
-			t.Fatal(err)
-		}
-		nodes = append(nodes, n)
+		nodes = append(nodes, startNode(ctx, t, &group, 7, i))
 	}
 	nodes[0].Update(func(l *MemberList) { l.SetServing(true); l.SetRevision(9) })
 	waitFor(t, "all know each other", func() bool {
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,15 +81,17 @@
 	limitHints *newsExchange[shuntbalance.LimitHint]
 	// spreaders holds the three exchanges of news.
 	spreaders []spreader
-	updates   chan func(*MemberList)
-	snapshot  atomic.Pointer[Snapshot]
-	socket    *net.UDPConn
-	listener  net.Listener
+	// received holds what datagrams bring, and own the changes of this VM's own report.
+	received chan func(*MemberList)
+	own      ownChanges
+	snapshot atomic.Pointer[Snapshot]
+	socket   *net.UDPConn
+	listener net.Listener
 }
 
 // NewNode returns a Node that has not started.
 func NewNode(c Config) *Node {
-	n := &Node{config: c, updates: make(chan func(*MemberList), 64)}
+	n := &Node{config: c, received: make(chan func(*MemberList), 64), own: ownChanges{added: make(chan struct{}, 1)}}
 	sendTo := func(b []byte, to netip.AddrPort) { n.send(b, []netip.AddrPort{to}) }
 	n.limits = &limitExchange{self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot, send: sendTo}
 	n.suspicions = newSuspicionExchange(c.Guard, n.Snapshot)
@@ -152,13 +155,37 @@
 func (n *Node) LimitsChanged() { n.limitHints.signal() }
 
 // Update applies u, which changes this VM's own report, to the member list.
-// Changes that are urgent are sent immediately. If too many updates are queued,
-// u is dropped.
-func (n *Node) Update(u func(*MemberList)) {
+// Changes that are urgent are sent immediately.
+func (n *Node) Update(u func(*MemberList)) { n.own.add(u) }
+
+// ownChanges holds changes of this VM's own report that are still to be made. They are
+// few, and most are made only once, so none may be lost among what datagrams bring.
+type ownChanges struct {
+	mu      sync.Mutex
+	changes []func(*MemberList)
+	// added is signalled when a change was added.
+	added chan struct{}
+}
+
+func (c *ownChanges) add(u func(*MemberList)) {
+	c.mu.Lock()
+	c.changes = append(c.changes, u)
+	c.mu.Unlock()
 	select {
-	case n.updates <- u:
+	case c.added <- struct{}{}:
 	default:
-		klog.InfoS("Update queue is full; dropping a change of this VM's report", "queued", len(n.updates))
+		// A signal is pending.
+	}
+}
+
+// apply makes the changes in the order in which they were added.
+func (c *ownChanges) apply(l *MemberList) {
+	c.mu.Lock()
+	changes := c.changes
+	c.changes = nil
+	c.mu.Unlock()
+	for _, u := range changes {
+		shuntgroup.Protect("change of this VM's report", func() { u(l) })
 	}
 }
 
@@ -172,11 +199,14 @@
 	defer t.Stop()
 	for heartbeats := 0; ; {
 		changed := false
+		before := l.Self()
 		select {
-		case u := <-n.updates:
-			before := l.Self()
+		case u := <-n.received:
 			shuntgroup.Protect("update of the member list", func() { u(l) })
 			changed = l.TakeChanged() || l.Self().withoutCounters() != before.withoutCounters()
+		case <-n.own.added:
+			n.own.apply(l)
+			changed = l.Self().withoutCounters() != before.withoutCounters()
 			if n.isUrgent(before, l.Self()) && time.Since(lastUrgent) > minUrgentInterval {
 				lastUrgent = time.Now()
 				l.IncrementHeartbeat()
@@ -296,7 +326,7 @@
 	}
 	n.config.Guard.Merge(suspicions)
 	select {
-	case n.updates <- func(l *MemberList) { n.merge(l, reports) }:
+	case n.received <- func(l *MemberList) { n.merge(l, reports) }:
 	case <-ctx.Done():
 	}
 }
