--- a/shuntbalance/rate_limiter.go
+++ b/shuntbalance/rate_limiter.go
@@ -79,8 +79,8 @@
 }
 
 // RateLimiter keeps this VM within its part of the rate limits that backend servers in
-// need name in their replies, to it or to other VMs. The part is what the VM responsible for a server has
-// granted (see RateDivider), or without a valid grant a fixed share.
+// need name in their replies, to it or to other VMs. The part is what the VM responsible
+// for a server has granted (see RateDivider), or without a valid grant a fixed share.
 type RateLimiter struct {
 	config RateLimiterConfig
 
@@ -126,9 +126,9 @@
 func (l *RateLimiter) Limit(s shuntroute.Server, perSecond float64) {
 	now := time.Now()
 	l.mu.Lock()
-	r := l.limited(IncarnationOf(s), s.Region, now)
+	r := l.getOrCreate(IncarnationOf(s), s.Region, now)
 	r.namedAt, r.hinted = now, false
-	limit := min(max(minServerRate, perSecond), maxServerRate)
+	limit := boundRate(perSecond)
 	news := limit != r.limit
 	if news {
 		klog.InfoS("Backend server limits its rate", "server", s.ID, "service", s.Service, "perSecond", perSecond, "before", r.limit)
@@ -140,8 +140,10 @@
 	}
 }
 
-// limited returns the state of a server that names a limit.
-func (l *RateLimiter) limited(id Incarnation, region string, now time.Time) *limitedServer {
+func boundRate(perSecond float64) float64 { return min(max(minServerRate, perSecond), maxServerRate) }
+
+// getOrCreate returns the state of a server that names a limit.
+func (l *RateLimiter) getOrCreate(id Incarnation, region string, now time.Time) *limitedServer {
 	r := l.servers[id]
 	if r == nil {
 		r = &limitedServer{region: region, refilledAt: now}
@@ -332,12 +334,14 @@
 func (l *RateLimiter) merge(h LimitHint, now time.Time) (news bool) {
 	namedAt := now.Add(-h.Age)
 	known := l.servers[h.Server]
-	if (known != nil && (!known.hinted || !namedAt.After(known.namedAt))) || !namedAt.After(l.unlimitedAt[h.Server]) {
+	told := known != nil && !known.hinted
+	outdated := (known != nil && !namedAt.After(known.namedAt)) || !namedAt.After(l.unlimitedAt[h.Server])
+	if told || outdated {
 		return false
 	}
-	r := l.limited(h.Server, h.Region, now)
+	r := l.getOrCreate(h.Server, h.Region, now)
 	r.namedAt, r.hinted = namedAt, true
-	limit := min(max(minServerRate, h.Limit), maxServerRate)
+	limit := boundRate(h.Limit)
 	if limit == r.limit {
 		return false
 	}
