--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -14,6 +14,7 @@
 
 	"mulberryshunt.example/mulberryshunt/shuntcall"
 	"mulberryshunt.example/mulberryshunt/shuntmember"
+	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
 const (
@@ -94,10 +95,23 @@
 	return nil
 }
 
+// routeForPeer returns the route of a request from another VM. If this VM can't serve it,
+// it declines and returns false.
+func (r *Router) routeForPeer(w http.ResponseWriter, in *http.Request, id string, table *shuntroute.Table) (*shuntroute.Route, bool) {
+	if r.caller.LinksLost() {
+		r.decline(w, id, reasonLinksLost)
+		return nil, false
+	}
+	route, ok := table.Match(in.Host, in.URL.Path)
+	if !ok {
+		r.decline(w, id, "no route")
+	}
+	return route, ok
+}
+
 // serveDelegated queries some of a query's shards for another VM, or serves a whole request
-// for it. It declines if
-// the two VMs have different versions of the routing table, because one reply must
-// not combine shards of different versions.
+// for it. It declines shards if the two VMs have different versions of the routing table,
+// because one reply must not combine shards of different versions.
 func (r *Router) serveDelegated(w http.ResponseWriter, in *http.Request) {
 	start := time.Now()
 	id := in.Header.Get(r.config.Headers.Upstream.RequestID)
@@ -116,13 +130,8 @@
 		r.decline(w, id, "this VM ends or goes by other routes")
 		return
 	}
-	if r.caller.LinksLost() {
-		r.decline(w, id, reasonLinksLost)
-		return
-	}
-	route, ok := table.Match(in.Host, in.URL.Path)
+	route, ok := r.routeForPeer(w, in, id, table)
 	if !ok {
-		r.decline(w, id, "no route")
 		return
 	}
 	subset, ok := d.Subset(route, start)
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -95,13 +95,8 @@
 		r.decline(w, id, "this VM goes by older routes")
 		return
 	}
-	if r.caller.LinksLost() {
-		r.decline(w, id, reasonLinksLost)
-		return
-	}
-	route, ok := table.Match(in.Host, in.URL.Path)
+	route, ok := r.routeForPeer(w, in, id, table)
 	if !ok {
-		r.decline(w, id, "no route")
 		return
 	}
 	body, ok := r.readBody(w, in, id, table)
