VMs of builds before protocol 1 and newer ones learn of each other's suspects

Callers saw servers lost under a request that all VMs of one build already refused, while VMs of two builds ran side by side: builds up to know a request by its query string and method too, and tell suspects in datagrams of reports; later ones know it by caller, host, path and body, and tell suspects in datagrams of their own, which the older ones drop as malformed. Neither could use what the other said, so each side lost servers of its own.

A VM now keeps both fingerprints of a request that a server may have run without answering, or that is a suspect. It tells VMs before protocol 1 of suspects by the exact one, in the form that they read, and takes over what they say when such a request comes. Which VMs these are follows from the protocol that VMs announce in spare bits of their reports, which older builds ignore. The log says which protocol a VM speaks.

--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -16,17 +16,25 @@
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
 
-// Fingerprint returns a hash of what stays the same when a caller repeats a request:
-// the caller, the host, the path and the body. The request ID and the query string may
-// differ from one time to the next.
-func Fingerprint(caller string, r shuntupstream.Request) uint64 {
+// Identify returns the fingerprints of a request. The content is what stays the same when
+// a caller repeats it: the caller, the host, the path and the body. The request ID, the
+// method and the query string may differ from one time to the next.
+func Identify(caller string, r shuntupstream.Request) shuntguard.Identity {
 	path, _, _ := strings.Cut(r.Target, "?")
+	return shuntguard.Identity{
+		Content: hashOf(r.Body, caller, r.Host, path),
+		// VMs of builds before protocol 1 go by this.
+		Exact: hashOf(r.Body, caller, r.Method, r.Host, r.Target),
+	}
+}
+
+func hashOf(body []byte, fields ...string) uint64 {
 	d := xxhash.New()
-	for _, s := range []string{caller, r.Host, path} {
+	for _, s := range fields {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(r.Body)
+	_, _ = d.Write(body)
 	return d.Sum64()
 }
 
@@ -44,13 +52,19 @@
 	RelayTo Delegate
 }
 
-// Admit decides whether the request with this fingerprint, to a route that is bound to the
+// Admit decides whether the request with these fingerprints, to a route that is bound to the
 // regions, may run. It protects the backend servers from callers that keep sending a
 // request which crashes them. Of all VMs, one runs a suspect: if each of them tried it, a
 // large fleet would lose a server each. The caller must call release when the request has
 // ended, with whether a server may have run it without answering.
-func (c *Caller) Admit(fingerprint uint64, regions []string) (a Admission, release func(lost bool)) {
-	none := func(bool) {}
+func (c *Caller) Admit(id shuntguard.Identity, regions []string) (a Admission, release func(lost bool)) {
+	none := func(lost bool) {
+		if lost {
+			c.config.Guard.RecordLost(id)
+		}
+	}
+	c.config.Guard.Recognize(id)
+	fingerprint := id.Content
 	if _, suspected := c.config.Guard.Suspected(fingerprint); !suspected {
 		return Admission{}, none
 	}
--- a/shuntcall/guard_test.go
+++ b/shuntcall/guard_test.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
 
-// TestFingerprint checks which requests count as repeats of the same one.
-func TestFingerprint(t *testing.T) {
+// TestIdentify checks which requests count as repeats of the same one.
+func TestIdentify(t *testing.T) {
 	base := shuntupstream.Request{Method: "GET", Host: "h", Target: "/a?n=1", Body: []byte("x"), ID: "1"}
 	cases := map[string]struct {
 		caller string
@@ -33,7 +34,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := base
 			c.change(&r)
-			if same := Fingerprint("c", base) == Fingerprint(c.caller, r); same != c.same {
+			if same := Identify("c", base).Content == Identify(c.caller, r).Content; same != c.same {
 				t.Errorf("the same request: %v; want %v", same, c.same)
 			}
 		})
@@ -44,7 +45,7 @@
 // decided and how the request ended.
 func (w *testCluster) sendGuarded(target string, fingerprint uint64, idempotent bool) (Admission, CallStatus) {
 	start := time.Now()
-	a, release := w.caller.Admit(fingerprint, nil)
+	a, release := w.caller.Admit(shuntguard.Identity{Content: fingerprint}, nil)
 	lost := true
 	defer func() { release(lost) }()
 	if a.Refused != "" {
@@ -123,7 +124,7 @@
 				time.Sleep(2 * time.Second)
 				w.setCut(false)
 				time.Sleep(time.Second)
-				if a, release := w.caller.Admit(fingerprint, nil); a.Suspect || a.Refused != "" {
+				if a, release := w.caller.Admit(shuntguard.Identity{Content: fingerprint}, nil); a.Suspect || a.Refused != "" {
 					release(false)
 					t.Errorf("got %+v; want it not suspected", a)
 				}
@@ -144,7 +145,7 @@
 		w.caller.detectCrash(t.Context(), in, s, shuntupstream.Outcome{Status: shuntupstream.Broken}, begun)
 		w.caller.detectCrash(t.Context(), Call{Fingerprint: 8}, s, shuntupstream.Outcome{Status: shuntupstream.Answered}, begun)
 		time.Sleep(time.Second)
-		if a, release := w.caller.Admit(7, nil); !a.Suspect {
+		if a, release := w.caller.Admit(shuntguard.Identity{Content: 7}, nil); !a.Suspect {
 			t.Errorf("got %+v; want a suspect", a)
 		} else {
 			release(false)
@@ -217,7 +218,7 @@
 			run(t, services, func(t *testing.T, w *testCluster) {
 				const fingerprint = 7
 				w.caller.config.Guard.RecordCrash(fingerprint, "gone", false)
-				a, release := w.caller.Admit(fingerprint, nil)
+				a, release := w.caller.Admit(shuntguard.Identity{Content: fingerprint}, nil)
 				if !a.Suspect {
 					t.Fatalf("got %+v; want a trial", a)
 				}
@@ -233,7 +234,7 @@
 					w.caller.RecordSuccess(fingerprint)
 				}
 				release(res.Lost)
-				if a, _ := w.caller.Admit(fingerprint, nil); (a.Refused != "") != c.suspect || a.Suspect {
+				if a, _ := w.caller.Admit(shuntguard.Identity{Content: fingerprint}, nil); (a.Refused != "") != c.suspect || a.Suspect {
 					t.Errorf("next time: got %+v", a)
 				}
 			})
--- a/shuntcall/relay.go
+++ b/shuntcall/relay.go
@@ -111,7 +111,7 @@
 	if r.Suspicion != nil {
 		c.config.Guard.Merge([]shuntguard.Suspicion{*r.Suspicion})
 	}
-	a, release = c.Admit(r.Fingerprint, regions)
+	a, release = c.Admit(shuntguard.Identity{Content: r.Fingerprint}, regions)
 	if a.Relay {
 		a = Admission{Refused: "another VM is in charge"}
 	}
--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -163,6 +163,8 @@
 	// is full, it replaces olderHarmless, whose entries are dropped.
 	harmless, olderHarmless map[uint64]bool
 	lastCrash               time.Time
+	// exact holds exact fingerprints of requests.
+	exact map[uint64]*exactForm
 }
 
 var (
@@ -213,6 +215,7 @@
 		quarantines: shuntmetric.Counter(set, docQuarantines, ""),
 		suspects:    map[uint64]*suspicion{},
 		harmless:    map[uint64]bool{},
+		exact:       map[uint64]*exactForm{},
 	}
 	shuntmetric.Gauge(set, docSuspects, "", func() float64 { return float64(g.count()) })
 	return g
@@ -274,6 +277,7 @@
 func (g *Guard) IsSuspect(fingerprint uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	fingerprint = g.contentOf(fingerprint)
 	s, ok := g.suspects[fingerprint]
 	return ok && !s.expired(time.Now())
 }
@@ -283,6 +287,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	fingerprint = g.contentOf(fingerprint)
 	s, ok := g.suspects[fingerprint]
 	if !ok || s.expired(now) {
 		return Suspicion{}, false
@@ -360,13 +365,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastCrash = now
+	fingerprint = g.contentOf(fingerprint)
 	s := g.getOrCreate(fingerprint, now)
 	if s.observedAt.IsZero() || now.Sub(s.observedAt) > episodeTime {
 		s.addEpisodes(uint32(g.random.Uint64()))
 	}
 	s.crashedAt, s.observedAt = now, now
 	s.remote = false
-	s.sends = 0
+	g.changed(fingerprint, s)
 	if !slices.Contains(s.servers, server) && len(s.servers) < maxServersPerEntry {
 		s.servers = append(s.servers, server)
 	}
@@ -502,18 +508,8 @@
 	news := false
 	g.mu.Lock()
 	for _, e := range in {
-		if e.Age < 0 || e.Strikes < 0 || e.Strikes > maxStrikes || len(e.Servers) > maxServersPerEntry || len(e.Episodes) > maxEpisodes {
-			continue
-		}
-		last := now.Add(-e.Age)
-		s := suspicion{servers: e.Servers, strikes: e.Strikes, crashedAt: last}
-		if s.expired(now) || (g.knownHarmless(e.Fingerprint) && !s.quarantined(now)) {
-			continue
-		}
-		if last.After(g.lastCrash) {
-			g.lastCrash = last
-		}
-		news = g.merge(e, last, now) || news
+		e.Fingerprint = g.contentOf(e.Fingerprint)
+		news = g.mergeReported(e, now) || news
 	}
 	g.mu.Unlock()
 	if news {
@@ -521,6 +517,32 @@
 	}
 }
 
+// mergeReported adds one suspect as Merge does, and reports whether that is news.
+func (g *Guard) mergeReported(e Suspicion, now time.Time) (news bool) {
+	if e.Age < 0 || e.Strikes < 0 || e.Strikes > maxStrikes || len(e.Servers) > maxServersPerEntry || len(e.Episodes) > maxEpisodes {
+		return false
+	}
+	last := now.Add(-e.Age)
+	s := suspicion{servers: e.Servers, strikes: e.Strikes, crashedAt: last}
+	if s.expired(now) || (g.knownHarmless(e.Fingerprint) && !s.quarantined(now)) {
+		return false
+	}
+	if last.After(g.lastCrash) {
+		g.lastCrash = last
+	}
+	return g.merge(e, last, now)
+}
+
+// changed makes a suspicion news for all other VMs.
+func (g *Guard) changed(fingerprint uint64, s *suspicion) {
+	s.sends = 0
+	for _, f := range g.exact {
+		if f.content == fingerprint {
+			f.sends = 0
+		}
+	}
+}
+
 // merge adds what another VM knows about one suspect, and reports whether that is news.
 func (g *Guard) merge(e Suspicion, last, now time.Time) (news bool) {
 	known, ok := g.suspects[e.Fingerprint]
@@ -541,7 +563,7 @@
 		s.crashedAt = last
 	}
 	if news {
-		s.sends = 0
+		g.changed(e.Fingerprint, s)
 		verbosity := klog.Level(0)
 		if !s.repeated() {
 			// Many requests are in flight by chance when a zone is lost.
--- a/shuntmember/codec.go
+++ b/shuntmember/codec.go
@@ -112,6 +112,7 @@
 	flags := r.bytes(1)[0]
 	out.Serving, out.Leaving, out.PlatformReachable = flags&flagServing != 0, flags&flagLeaving != 0, flags&flagPlatformReachable != 0
 	out.LinksLost = flags&flagLinksLost != 0
+	out.Protocol = flags >> protocolShift
 	out.Zone = r.text()
 	return out
 }
@@ -138,5 +139,6 @@
 	if r.LinksLost {
 		flags |= flagLinksLost
 	}
+	flags |= min(r.Protocol, maxProtocol) << protocolShift
 	return appendString(append(b, flags), r.Zone)
 }
--- a/shuntmember/member_list.go
+++ b/shuntmember/member_list.go
@@ -51,6 +51,9 @@
 	Load     uint32
 	// Revision is that of the newest published change that the VM knows of.
 	Revision int64
+	// Protocol is the version of what VMs say to each other that the VM speaks; 0 for
+	// builds that do not tell.
+	Protocol uint8
 }
 
 func (r Report) newerThan(o Report) bool {
@@ -158,8 +161,12 @@
 		} else if !in.newerThan(m.report) {
 			continue
 		}
-		if !ok || in.Leaving != m.report.Leaving || in.Start != m.report.Start {
-			klog.InfoS("VM reported", "vm", in.Address, "zone", in.Zone, "start", in.Start, "leaving", in.Leaving, "serving", in.Serving, "new", !ok)
+		if ok && in.Start == m.report.Start {
+			// VMs that don't know of protocols leave it out of what they pass on.
+			in.Protocol = max(in.Protocol, m.report.Protocol)
+		}
+		if !ok || in.Leaving != m.report.Leaving || in.Start != m.report.Start || in.Protocol != m.report.Protocol {
+			klog.InfoS("VM reported", "vm", in.Address, "zone", in.Zone, "start", in.Start, "leaving", in.Leaving, "serving", in.Serving, "protocol", in.Protocol, "new", !ok)
 		}
 		if ok && in.LinksLost != m.report.LinksLost {
 			klog.InfoS("VM reported its links to the backend servers", "vm", in.Address, "zone", in.Zone, "lost", in.LinksLost)
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -442,13 +442,23 @@
 // different addresses; the first one is the seed.
 func startNode(ctx context.Context, t *testing.T, group *shuntgroup.Group, fleet byte, i int) *Node {
 	t.Helper()
-	address := func(i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, fleet, byte(i + 1)}), 17360)
-	}
+	return startNodeWith(ctx, t, group, fleet, i, shuntguard.New(shuntguard.Config{}))
+}
+
+// nodeAddress returns the address of node i of a fleet.
+func nodeAddress(fleet byte, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, fleet, byte(i + 1)}), 17360)
+}
+
+// startNodeWith starts node i of a fleet with a guard.
+func startNodeWith(ctx context.Context, t *testing.T, group *shuntgroup.Group, fleet byte, i int, guard *shuntguard.Guard) *Node {
+	t.Helper()
+	address := func(i int) netip.AddrPort { return nodeAddress(fleet, i) }
 	n := NewNode(Config{
 		Address: address(i), Zone: "a0", Capacity: 400, RegionOf: regionOf, Group: group, Random: shuntrandom.New(uint64(i + 1)),
 		Seeds:      func() []netip.AddrPort { return []netip.AddrPort{address(0)} },
-		Guard:      shuntguard.New(shuntguard.Config{}),
+		Guard:      guard,
+		ExactGuard: guard.Exact(),
 		Notices:    shuntbalance.NewNotices(shuntbalance.NoticesConfig{}),
 		RateLimits: shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}),
 		ChangesSince: func(int64) shuntcatalog.Delta {
--- a/shuntmember/news.go
+++ b/shuntmember/news.go
@@ -12,6 +12,8 @@
 	// newsFanout is the number of VMs, of any region, that get news at once. Those that
 	// learn something pass it on in the same way.
 	newsFanout = 4
+	// maxNewsBytes limits the size of the things in a datagram.
+	maxNewsBytes = maxDatagram - 2
 )
 
 // NewsTable holds things that VMs tell each other as soon as one of them learns them.
@@ -26,14 +28,18 @@
 type spreader interface {
 	run(ctx context.Context)
 	tellSome(to []netip.AddrPort)
-	tellNewcomer(to []netip.AddrPort)
+	tellNewcomer(vm Report)
 	handle(b []byte) (ok bool, err error)
 }
 
 // newsExchange spreads the contents of a table among the VMs.
 type newsExchange[T any] struct {
-	// version is the first byte of the datagrams.
+	// version is the first byte of the datagrams. header returns their first bytes, given
+	// the number of things, if there are others.
 	version byte
+	header  func(count int) []byte
+	// toOlder is true if only VMs before protocol 1 are told, and nothing is read.
+	toOlder bool
 	table   NewsTable[T]
 	encode  func(b []byte, v T) []byte
 	decode  func(r *reader) T
@@ -82,12 +88,16 @@
 
 // tellNews sends one datagram with news to some VMs. It returns false if there is none.
 func (x *newsExchange[T]) tellNews() bool {
+	to := x.addressees(x.snapshot().others())
+	if len(to) == 0 {
+		return false
+	}
 	news := x.table.News(x.maxNews)
 	if len(news) == 0 {
 		return false
 	}
 	b := x.datagram(news)
-	for _, vm := range x.sample(x.snapshot().others(), newsFanout) {
+	for _, vm := range x.sample(to, newsFanout) {
 		x.send(b, vm)
 	}
 	for _, v := range news {
@@ -102,10 +112,14 @@
 }
 
 // tellSome sends some things to the VMs that get a heartbeat.
-func (x *newsExchange[T]) tellSome(to []netip.AddrPort) { x.tell(to, x.maxTold) }
+func (x *newsExchange[T]) tellSome(to []netip.AddrPort) { x.tell(x.addressees(to), x.maxTold) }
 
 // tellNewcomer sends things to a VM that has just started.
-func (x *newsExchange[T]) tellNewcomer(to []netip.AddrPort) { x.tell(to, x.maxJoin) }
+func (x *newsExchange[T]) tellNewcomer(vm Report) {
+	if !x.toOlder || vm.Protocol == 0 {
+		x.tell([]netip.AddrPort{vm.Address}, x.maxJoin)
+	}
+}
 
 // tell sends up to limit things to the VMs, if there are any.
 func (x *newsExchange[T]) tell(to []netip.AddrPort, limit int) {
@@ -122,22 +136,35 @@
 	}
 }
 
+// addressees returns those of the VMs that are told.
+func (x *newsExchange[T]) addressees(vms []netip.AddrPort) []netip.AddrPort {
+	if !x.toOlder {
+		return vms
+	}
+	return x.snapshot().olderOf(vms)
+}
+
 // datagram encodes as many of the things as fit.
 func (x *newsExchange[T]) datagram(things []T) []byte {
-	b := []byte{x.version}
+	var body []byte
+	count := 0
 	for _, v := range things {
 		e := x.encode(nil, v)
-		if len(b)+len(e) > maxDatagram {
+		if len(body)+len(e) > maxNewsBytes {
 			break
 		}
-		b = append(b, e...)
+		body = append(body, e...)
+		count++
+	}
+	if x.header != nil {
+		return append(x.header(count), body...)
 	}
-	return b
+	return append([]byte{x.version}, body...)
 }
 
 // handle handles a datagram. It returns false if it is of another kind.
 func (x *newsExchange[T]) handle(b []byte) (ok bool, err error) {
-	if len(b) == 0 || b[0] != x.version {
+	if x.toOlder || len(b) == 0 || b[0] != x.version {
 		return false, nil
 	}
 	r := &reader{rest: b[1:]}
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -64,6 +64,8 @@
 	// Guard provides and receives the suspicions that are exchanged with the
 	// reports.
 	Guard NewsTable[shuntguard.Suspicion]
+	// ExactGuard provides them by their exact fingerprints, for VMs of older builds.
+	ExactGuard NewsTable[shuntguard.Suspicion]
 	// Notices provides and receives the backend servers that are leaving.
 	Notices NewsTable[shuntbalance.LeavingHint]
 	// RateLimits holds the limits of backend servers that this VM divides with others.
@@ -77,9 +79,11 @@
 	config     Config
 	limits     *limitExchange
 	suspicions *newsExchange[shuntguard.Suspicion]
+	// older tells VMs of older builds of suspicions.
+	older      *newsExchange[shuntguard.Suspicion]
 	leaving    *newsExchange[shuntbalance.LeavingHint]
 	limitHints *newsExchange[shuntbalance.LimitHint]
-	// spreaders holds the three exchanges of news.
+	// spreaders holds all exchanges of news.
 	spreaders []spreader
 	// received holds what datagrams bring, and own the changes of this VM's own report.
 	received chan func(*MemberList)
@@ -96,18 +100,20 @@
 	n.limits = &limitExchange{self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot, send: sendTo}
 	n.suspicions = newSuspicionExchange(c.Guard, n.Snapshot)
 	n.suspicions.sample, n.suspicions.send = n.sample, sendTo
+	n.older = newOlderExchange(c.ExactGuard, n.Snapshot)
+	n.older.sample, n.older.send = n.sample, sendTo
 	n.leaving = newLeavingExchange(c.Notices, n.Snapshot)
 	n.leaving.sample, n.leaving.send = n.sample, sendTo
 	n.limitHints = newLimitHintExchange(c.RateLimits, n.Snapshot)
 	n.limitHints.sample, n.limitHints.send = n.sample, sendTo
-	n.spreaders = []spreader{n.suspicions, n.leaving, n.limitHints}
+	n.spreaders = []spreader{n.suspicions, n.older, n.leaving, n.limitHints}
 	n.snapshot.Store(n.newMemberList().Snapshot(time.Now(), 0))
 	return n
 }
 
 func (n *Node) newMemberList() *MemberList {
 	c := n.config
-	return NewMemberList(Report{Address: c.Address, Zone: c.Zone, Capacity: c.Capacity, Start: uint64(time.Now().UnixMilli())}, c.RegionOf)
+	return NewMemberList(Report{Address: c.Address, Zone: c.Zone, Capacity: c.Capacity, Start: uint64(time.Now().UnixMilli()), Protocol: Protocol}, c.RegionOf)
 }
 
 // Snapshot returns the current view of the live VMs.
@@ -146,7 +152,10 @@
 }
 
 // SuspicionsChanged makes the node tell the other VMs soon which requests are suspects.
-func (n *Node) SuspicionsChanged() { n.suspicions.signal() }
+func (n *Node) SuspicionsChanged() {
+	n.suspicions.signal()
+	n.older.signal()
+}
 
 // LeavingChanged makes the node tell the other VMs soon which servers are leaving.
 func (n *Node) LeavingChanged() { n.leaving.signal() }
@@ -341,7 +350,7 @@
 		to := []netip.AddrPort{reports[0].Address}
 		n.send(n.encodeReports(l), to)
 		for _, s := range n.spreaders {
-			s.tellNewcomer(to)
+			s.tellNewcomer(reports[0])
 		}
 	}
 }
--- /dev/null
+++ b/shuntmember/protocol.go
@@ -0,0 +1,52 @@
+package shuntmember
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"mulberryshunt.example/mulberryshunt/shuntguard"
+)
+
+// Protocol is the version of what VMs say to each other that this build speaks. VMs of
+// different builds run side by side during an upgrade; docs/design/protocol.md lists what
+// the versions understand of each other.
+const Protocol = 1
+
+const (
+	// protocolShift is the place of the protocol in the flags of a report, which builds
+	// before protocol 1 leave at 0 and ignore.
+	protocolShift = 4
+	maxProtocol   = 1<<(8-protocolShift) - 1
+)
+
+// maxOlderSuspicions limits the number of suspicions in a datagram to VMs before
+// protocol 1, and the number told to one that has just started.
+const maxOlderSuspicions = 40
+
+// newOlderExchange returns an exchange that tells VMs before protocol 1 of suspects by
+// their exact fingerprints, in a datagram of reports, which is where they expect them.
+func newOlderExchange(table NewsTable[shuntguard.Suspicion], snapshot func() *Snapshot) *newsExchange[shuntguard.Suspicion] {
+	return &newsExchange[shuntguard.Suspicion]{
+		header: func(count int) []byte { return []byte{datagramVersion, byte(count)} }, toOlder: true,
+		table: table, encode: appendOlderSuspicion,
+		maxNews: maxOlderSuspicions, maxTold: maxSuspicions, maxJoin: maxOlderSuspicions, snapshot: snapshot, news: make(chan struct{}, 1),
+	}
+}
+
+// olderOf returns those of the VMs that are alive and before protocol 1.
+func (s *Snapshot) olderOf(vms []netip.AddrPort) []netip.AddrPort {
+	if len(s.older) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(vms), func(a netip.AddrPort) bool { return !s.older[a] })
+}
+
+// appendOlderSuspicion encodes a suspicion as VMs before protocol 1 read it, without the
+// names of servers.
+func appendOlderSuspicion(b []byte, s shuntguard.Suspicion) []byte {
+	b = binary.BigEndian.AppendUint64(b, s.Fingerprint)
+	b = binary.AppendUvarint(b, uint64(s.Strikes))
+	b = binary.AppendUvarint(b, uint64(s.Age.Milliseconds()))
+	return binary.AppendUvarint(b, 0)
+}
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -70,6 +70,8 @@
 	alone bool
 	// othersLostLinks is true if another VM has lost its links to the backend servers.
 	othersLostLinks bool
+	// older holds the VMs that are alive and before protocol 1.
+	older map[netip.AddrPort]bool
 }
 
 // shares are the parts of common limits that VMs may use.
@@ -87,7 +89,7 @@
 func (l *MemberList) Snapshot(now time.Time, age time.Duration) *Snapshot {
 	s := &Snapshot{
 		self: l.self.Address, regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{},
-		settled: age > startupTime, alone: len(l.members) == 0 && age <= shareRetention,
+		older: map[netip.AddrPort]bool{}, settled: age > startupTime, alone: len(l.members) == 0 && age <= shareRetention,
 	}
 	s.shares = shares{silent: map[netip.AddrPort]bool{}, leaving: map[netip.AddrPort]bool{}}
 	// known also holds VMs that became silent recently. They may still be alive
@@ -100,6 +102,9 @@
 	}
 	for _, m := range l.members {
 		region := l.regionOf(m.report.Zone)
+		if m.alive && m.report.Protocol == 0 {
+			s.older[m.report.Address] = true
+		}
 		if now.Sub(m.lastHeard) <= shareRetention {
 			known[region] = append(known[region], m.report)
 		}
--- a/shuntmember/suspicions_test.go
+++ b/shuntmember/suspicions_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
 	"mulberryshunt.example/mulberryshunt/shuntrandom"
@@ -21,7 +22,9 @@
 	listingTime = 50 * time.Millisecond
 	// lossRate is the fraction of datagrams that are lost.
 	lossRate = 0.02
-	poison   = 7
+	// The request that crashes servers has the fingerprint poison, and exactPoison for VMs
+	// before protocol 1.
+	poison, exactPoison = 7, 8
 )
 
 // suspicionFleet is a fleet of VMs in virtual time that tell each other suspicions. Only
@@ -32,7 +35,9 @@
 	byAddress map[netip.AddrPort]int
 	// side returns the side of a partition on which a VM is, and snapshots holds what the
 	// VMs of a side know of the fleet.
-	side      func(vm int) int
+	side func(vm int) int
+	// older returns whether a VM is of a build before protocol 1.
+	older     func(vm int) bool
 	snapshots map[int]*Snapshot
 	pending   map[time.Time][]func()
 	// crashes holds when servers crashed.
@@ -44,14 +49,16 @@
 	address  netip.AddrPort
 	guard    *shuntguard.Guard
 	exchange *newsExchange[shuntguard.Suspicion]
+	// toOlder tells VMs before protocol 1. It is nil for these themselves.
+	toOlder *newsExchange[shuntguard.Suspicion]
 	// news is true while the VM has news that it has not told.
 	news bool
 	// servesAt is when the VM knows the routes.
 	servesAt time.Time
 }
 
-func newSuspicionFleet(n int, seed uint64, side func(vm int) int) *suspicionFleet {
-	f := &suspicionFleet{random: rand.New(rand.NewPCG(seed, seed)), byAddress: map[netip.AddrPort]int{}, side: side, snapshots: map[int]*Snapshot{}, pending: map[time.Time][]func(){}}
+func newSuspicionFleet(n int, seed uint64, side func(vm int) int, older func(vm int) bool) *suspicionFleet {
+	f := &suspicionFleet{older: older, random: rand.New(rand.NewPCG(seed, seed)), byAddress: map[netip.AddrPort]int{}, side: side, snapshots: map[int]*Snapshot{}, pending: map[time.Time][]func(){}}
 	reports := newReports(n, equalCapacity)
 	for i := range n {
 		f.vms = append(f.vms, &suspicionVM{address: reports[i].Address})
@@ -67,15 +74,16 @@
 	v := f.vms[i]
 	v.servesAt = time.Now().Add(listingTime)
 	v.guard = shuntguard.New(shuntguard.Config{Random: shuntrandom.New(f.random.Uint64() | 1), OnNews: func() { v.news = true }})
-	v.exchange = newSuspicionExchange(v.guard, func() *Snapshot { return f.snapshot(i) })
-	v.exchange.sample = func(from []netip.AddrPort, count int) []netip.AddrPort {
-		out := make([]netip.AddrPort, 0, count)
-		for range min(count, len(from)) {
-			out = append(out, from[f.random.IntN(len(from))])
+	snapshot := func() *Snapshot { return f.snapshot(i) }
+	v.exchange, v.toOlder = newSuspicionExchange(v.guard, snapshot), newOlderExchange(v.guard.Exact(), snapshot)
+	if f.older(i) {
+		v.exchange, v.toOlder = olderBuildExchange(v.guard, snapshot), nil
+	}
+	for _, x := range []*newsExchange[shuntguard.Suspicion]{v.exchange, v.toOlder} {
+		if x != nil {
+			f.connect(i, x)
 		}
-		return out
 	}
-	v.exchange.send = func(b []byte, to netip.AddrPort) { f.deliver(i, b, to) }
 	for j := range min(3, len(f.vms)) {
 		if j != i {
 			f.after(suspicionStep, func() { f.vms[j].exchange.tell([]netip.AddrPort{v.address}, maxJoinSuspicions) })
@@ -83,6 +91,26 @@
 	}
 }
 
+// olderBuildExchange returns the exchange of a build before protocol 1, which tells its
+// latest suspicions with each heartbeat and knows no news.
+func olderBuildExchange(guard *shuntguard.Guard, snapshot func() *Snapshot) *newsExchange[shuntguard.Suspicion] {
+	x := newOlderExchange(guard, snapshot)
+	x.toOlder = false
+	return x
+}
+
+// connect makes an exchange of a VM send to the others.
+func (f *suspicionFleet) connect(i int, x *newsExchange[shuntguard.Suspicion]) {
+	x.sample = func(from []netip.AddrPort, count int) []netip.AddrPort {
+		out := make([]netip.AddrPort, 0, count)
+		for range min(count, len(from)) {
+			out = append(out, from[f.random.IntN(len(from))])
+		}
+		return out
+	}
+	x.send = func(b []byte, to netip.AddrPort) { f.deliver(i, b, to) }
+}
+
 // maxSuspicionEntries is the number of VMs that callers are sent to.
 const maxSuspicionEntries = 60
 
@@ -91,7 +119,7 @@
 func (f *suspicionFleet) snapshot(i int) *Snapshot {
 	side := f.side(i)
 	if f.snapshots[side] == nil {
-		s := &Snapshot{regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}, settled: true, shares: shares{silent: map[netip.AddrPort]bool{}}}
+		s := &Snapshot{regions: map[string][]Report{}, entries: map[netip.AddrPort]bool{}, settled: true, older: map[netip.AddrPort]bool{}, shares: shares{silent: map[netip.AddrPort]bool{}}}
 		for j, v := range f.vms {
 			if f.side(j) != side {
 				s.shares.silent[v.address] = true
@@ -99,6 +127,9 @@
 			}
 			region := string(rune('a' + j%3))
 			s.regions[region] = append(s.regions[region], Report{Address: v.address})
+			if f.older(j) {
+				s.older[v.address] = true
+			}
 			if j < maxSuspicionEntries {
 				s.entries[v.address] = true
 			}
@@ -113,7 +144,19 @@
 func (f *suspicionFleet) deliver(from int, b []byte, to netip.AddrPort) {
 	j := f.byAddress[to]
 	if f.random.Float64() >= lossRate && f.side(from) == f.side(j) {
-		f.after(suspicionStep, func() { _, _ = f.vms[j].exchange.handle(b) })
+		f.after(suspicionStep, func() { f.receive(j, b) })
+	}
+}
+
+// receive handles a datagram as a Node does.
+func (f *suspicionFleet) receive(j int, b []byte) {
+	if !f.older(j) {
+		if handled, _ := f.vms[j].exchange.handle(b); handled {
+			return
+		}
+	}
+	if suspicions, _, err := decodeDatagram(b); err == nil {
+		f.vms[j].guard.Merge(suspicions)
 	}
 }
 
@@ -130,11 +173,17 @@
 	}
 	delete(f.pending, now)
 	for i, v := range f.vms {
-		if v.news && n%int(newsInterval/suspicionStep) == 0 {
-			v.news = v.exchange.tellNews()
+		if v.news && n%int(newsInterval/suspicionStep) == 0 && !f.older(i) {
+			// Both must be told.
+			a, b := v.exchange.tellNews(), v.toOlder.tellNews()
+			v.news = a || b
 		}
 		if (n+i)%int(heartbeatInterval/suspicionStep) == 0 {
-			v.exchange.tell(v.exchange.sample(f.snapshot(i).others(), zoneFanout), maxSuspicions)
+			to := v.exchange.sample(f.snapshot(i).others(), zoneFanout)
+			v.exchange.tellSome(to)
+			if v.toOlder != nil {
+				v.toOlder.tellSome(to)
+			}
 		}
 	}
 	time.Sleep(suspicionStep)
@@ -154,30 +203,41 @@
 	if time.Now().Before(v.servesAt) {
 		return
 	}
+	if f.older(i) {
+		// Builds before protocol 1 try suspects themselves.
+		if d := v.guard.Admit(exactPoison, shuntconfig.CanaryNever); d.Refused == shuntoutcome.None && d.Wait == nil {
+			f.crash(v, exactPoison, d.Suspect)
+			v.guard.Release(exactPoison)
+		}
+		return
+	}
+	id := shuntguard.Identity{Content: poison, Exact: exactPoison}
+	v.guard.Recognize(id)
 	known, suspected := v.guard.Suspected(poison)
 	if !suspected {
-		f.crash(v, false)
+		f.crash(v, poison, false)
+		v.guard.RecordLost(id)
 		return
 	}
 	if v.guard.QuarantineLeft(poison) > 0 {
 		return
 	}
 	vm, _, ok := f.snapshot(i).InChargeOfSuspect(poison, nil)
-	if !ok {
+	if !ok || f.older(f.byAddress[vm.Address]) {
 		return
 	}
 	o := f.vms[f.byAddress[vm.Address]]
 	o.guard.Merge([]shuntguard.Suspicion{known})
 	if d := o.guard.AdmitTrial(poison); d.Refused == shuntoutcome.None && d.Wait == nil {
-		f.crash(o, true)
+		f.crash(o, poison, true)
 		o.guard.EndTrial(poison, true)
 	}
 }
 
-func (f *suspicionFleet) crash(v *suspicionVM, trial bool) {
+func (f *suspicionFleet) crash(v *suspicionVM, fingerprint uint64, trial bool) {
 	f.crashes = append(f.crashes, time.Now())
 	server := fmt.Sprintf("s-%d", len(f.crashes))
-	f.after(detectionTime, func() { v.guard.RecordCrash(poison, server, trial) })
+	f.after(detectionTime, func() { v.guard.RecordCrash(fingerprint, server, trial) })
 }
 
 // poisonInterval is the time between two sends of the request that crashes servers.
@@ -192,7 +252,9 @@
 	// restarts makes a VM restart each half second.
 	restarts bool
 	side     func(vm int) int
-	span     time.Duration
+	// older returns whether a VM is of a build before protocol 1.
+	older func(vm int) bool
+	span  time.Duration
 	// within is how long VMs may take to hear of the first crash, and trials the number
 	// of crashes that may come after that.
 	within time.Duration
@@ -204,7 +266,10 @@
 	if c.side == nil {
 		c.side = func(int) int { return 0 }
 	}
-	f := newSuspicionFleet(c.vms, 1, c.side)
+	if c.older == nil {
+		c.older = func(int) bool { return false }
+	}
+	f := newSuspicionFleet(c.vms, 1, c.side, c.older)
 	every := func(d time.Duration, n int) bool { return n%int(d/suspicionStep) == 0 }
 	for n := range int(c.span / suspicionStep) {
 		if every(time.Second, n) {
@@ -263,3 +328,29 @@
 		})
 	}
 }
+
+// TestCrashesBesideOlderVMs checks that a request crashes no more servers in a fleet of two
+// builds, one of which is before protocol 1, than it does in a fleet of the older one.
+func TestCrashesBesideOlderVMs(t *testing.T) {
+	const vms, span = 6, 30 * time.Second
+	most := 0
+	synctest.Test(t, func(*testing.T) {
+		most = len(poisonCase{vms: vms, span: span, older: func(int) bool { return true }}.play().crashes)
+	})
+	cases := map[string]func(vm int) bool{
+		"one is newer": func(vm int) bool { return vm != 4 },
+		"half are":     func(vm int) bool { return vm%2 == 0 },
+		"one is older": func(vm int) bool { return vm == 4 },
+	}
+	for name, older := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := poisonCase{vms: vms, span: span, older: older}.play()
+				if len(f.crashes) > most {
+					t.Errorf("%d servers crashed; %d with older VMs alone", len(f.crashes), most)
+				}
+				t.Logf("%d servers crashed; %d with older VMs alone", len(f.crashes), most)
+			})
+		})
+	}
+}
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -128,14 +128,15 @@
 	}
 	q := r.newRequest(in, id, start, route, view.Table, body)
 	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
-	q.fingerprint = shuntcall.Fingerprint(caller, q.upstream)
+	identity := shuntcall.Identify(caller, q.upstream)
+	q.fingerprint = identity.Content
 	if r.endsBefore(q) {
 		r.replyUnavailable(w, id, "this VM may end before the request", 0)
 		return
 	}
 	ctx, cancel := r.requestContext(in, q)
 	defer cancel()
-	admission, release := r.caller.Admit(q.fingerprint, route.Regions)
+	admission, release := r.caller.Admit(identity, route.Regions)
 	switch {
 	case admission.Refused != "":
 		r.replyUnavailable(w, id, admission.Refused, admission.RetryAfter)
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -145,6 +145,7 @@
 		Address: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf:     func(zone string) string { return s.RegionByZone[zone] },
 		Guard:        r.guard,
+		ExactGuard:   r.guard.Exact(),
 		Notices:      r.notices,
 		RateLimits:   r.rateLimiter,
 		ChangesSince: func(revision int64) shuntcatalog.Delta { return r.follower.ChangesSince(r.ctx, revision) },
@@ -187,7 +188,7 @@
 	r.config.Group.Go(func() { r.enforceLimits(ctx) })
 	r.listenDelegated(ctx)
 	context.AfterFunc(ctx, r.endRequests)
-	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.PeerAddress)
+	klog.InfoS("Router started", "vm", r.config.Settings.Name, "zone", r.config.Settings.Zone, "peer", r.config.Settings.PeerAddress, "protocol", shuntmember.Protocol)
 	return nil
 }
 
