--- a/shuntcommand/soak.go
+++ b/shuntcommand/soak.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/platform/shuntsoak"
@@ -24,13 +25,18 @@
 			duration := fs.Duration("duration", defaultSoakDuration, "how long faults are injected, for each seed")
 			vms := fs.Int("vms", defaultSoakVMs, "the number of daemon processes, 1 to 200")
 			daemon := fs.String("daemon", "target/mulberryshuntd", "the daemon program to run")
+			earlier := fs.String("earlier", "", "daemon programs of earlier builds, separated by commas: VMs start with the first one and are replaced in turn")
 			dir := fs.String("dir", "", "folder for settings and logs; by default a new one, kept if a promise is broken")
 			return func(e *env) error {
 				if *vms < 1 || *vms > 200 || *seeds < 1 {
 					return usageError("-vms must be 1 to 200, -seeds above 0")
 				}
+				var builds []string
+				if *earlier != "" {
+					builds = strings.Split(*earlier, ",")
+				}
 				for i := range *seeds {
-					c := shuntsoak.Config{Seed: *seed + uint64(i), Duration: *duration, VMs: *vms, Daemon: *daemon, Dir: *dir, Out: e.out}
+					c := shuntsoak.Config{Seed: *seed + uint64(i), Duration: *duration, VMs: *vms, Daemon: *daemon, Earlier: builds, Dir: *dir, Out: e.out}
 					if err := runSoak(e, c); err != nil {
 						return err
 					}
