shuntupstream: a request is not sent on a connection that has carried it before

Both servers of its service were full and declined it; 8 ms later it was sent to one of them again, under the same ID and mostly on the same connection, where a second copy of the first refusal came in late and was taken for the answer to the second sending.

The class: what one sending may receive was told by the ID alone, which two sendings of a request share. Now a call tells the pool on which connections it has sent the request, and the pool takes another one, or opens one in the place of an idle one. A copy can only come on the connection of the first reply, so it can't be taken for that to a later sending. Connections that got more than they asked for were closed before, and still are.

The same elsewhere: hedges and other retries go to other servers; a request is relayed and its shards are delegated to a VM at most once each, on connections between VMs, which repeat nothing; probes send nothing.

TestSecondCopyOfRefusal fails without the change of the pool (Declined instead of the answer, both cases).

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -202,11 +202,13 @@
 
 // call is the state of a running call.
 type call struct {
-	caller     *Caller
-	call       Call
-	ctx        context.Context
-	results    chan attemptResult
-	tried      []shuntbalance.Incarnation
+	caller  *Caller
+	call    Call
+	ctx     context.Context
+	results chan attemptResult
+	tried   []shuntbalance.Incarnation
+	// sentOn holds the connections on which the request was sent.
+	sentOn     []uint64
 	started    time.Time
 	open       int
 	attempts   int
@@ -316,6 +318,7 @@
 		return Result{Status: Served, Reply: e.outcome.Reply, HasReply: true, Server: e.server.ID, Attempts: r.attempts, Latency: time.Since(e.started)}, true
 	}
 	r.last, r.hasLast = e, true
+	r.sentOn = append(r.sentOn, e.outcome.Conn)
 	r.unreachable = r.unreachable && e.outcome.Status == shuntupstream.NotSent
 	r.count(e)
 	klog.InfoS("Attempt failed", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", e.server.ID,
@@ -432,10 +435,12 @@
 		klog.InfoS("Further attempt", "request", r.call.Request.ID, "service", r.call.Service.Name, "server", s.ID, "why", why, "asked", r.attempts,
 			"after", time.Since(r.started).Milliseconds(), "revision", r.caller.config.View().Revision)
 	}
+	in := r.call
+	in.Request.SentOn = slices.Clone(r.sentOn)
 	if !r.caller.config.Group.Go(func() {
 		// A panic loses the answer, so the request may have run.
 		result := attemptResult{server: s, outcome: shuntupstream.Outcome{Status: shuntupstream.Broken, Err: errPanicked}, started: time.Now()}
-		shuntgroup.Protect("attempt", func() { result = r.caller.attempt(r.ctx, r.call, s) })
+		shuntgroup.Protect("attempt", func() { result = r.caller.attempt(r.ctx, in, s) })
 		r.results <- result
 	}) {
 		r.open--
--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -41,6 +41,8 @@
 
 // conn is a connection to a backend server. It carries one exchange at a time.
 type conn struct {
+	// id is unique in the pool.
+	id     uint64
 	net    net.Conn
 	group  *shuntgroup.Group
 	memory *replyMemory
--- a/shuntupstream/copies_test.go
+++ b/shuntupstream/copies_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +57,37 @@
 	}
 }
 
+// TestSecondCopyOfRefusal checks that a request that is sent to a server once more does not
+// get a second copy of the server's refusal, which has the same ID.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, maxConns := range map[string]int{"one connection": 1, "several": 3} {
+		t.Run(name, func(t *testing.T) {
+			var sendings atomic.Int64
+			s := serve(t, func(conn net.Conn, next func() *http.Request) {
+				for n := 0; next() != nil; n++ {
+					own := reply("1", "own")
+					if sendings.Add(1) == 1 {
+						own = refusal
+					} else if n > 0 {
+						own = refusal + own
+					}
+					if !send(conn, own) {
+						return
+					}
+				}
+			})
+			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}})
+			server := Server{ID: "i", Address: s.address, MaxConns: maxConns}
+			r := request("1")
+			first := p.Do(t.Context(), server, false, r)
+			wantReply(t, first, Declined, "")
+			r.SentOn = []uint64{first.Conn}
+			wantReply(t, p.Do(t.Context(), server, false, r), Answered, "own")
+		})
+	}
+}
+
 // wantReply checks the status of an exchange and, if it was answered, the body.
 func wantReply(t *testing.T, o Outcome, status Status, body string) {
 	t.Helper()
--- a/shuntupstream/exchange.go
+++ b/shuntupstream/exchange.go
@@ -41,6 +41,10 @@
 	ID     string
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
+	// SentOn holds the connections on which the request was sent before, from the outcomes
+	// of these exchanges. It is not sent on them again: a second copy of the earlier reply
+	// may arrive there late, and has the same ID.
+	SentOn []uint64
 }
 
 // Status describes how an exchange ended.
@@ -123,6 +127,8 @@
 type Outcome struct {
 	Status Status
 	Reply  Reply
+	// Conn identifies the connection among those of the pool; 0 if there was none.
+	Conn uint64
 	// Err is the reason why there is no reply, or nil if there is one.
 	Err error
 }
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -105,11 +105,12 @@
 // Do sends r to the server and returns the outcome. A request that is not
 // idempotent uses only new or recently used connections.
 func (p *Pool) Do(ctx context.Context, s Server, idempotent bool, r Request) Outcome {
-	c, status, err := p.acquire(ctx, s, idempotent)
+	c, status, err := p.acquire(ctx, s, idempotent, r.SentOn)
 	if err != nil {
 		return Outcome{Status: status, Err: err}
 	}
 	out := c.exchange(ctx, p.config.Headers, s.ID, r)
+	out.Conn = c.id
 	p.release(s, c)
 	return out
 }
@@ -124,29 +125,22 @@
 	return sc
 }
 
-// acquire returns an idle connection, opens a new one or waits for one. On failure
-// it returns the status of the exchange and the reason.
-func (p *Pool) acquire(ctx context.Context, s Server, idempotent bool) (*conn, Status, error) {
+// acquire returns an idle connection that is not one of sentOn, opens a new one or waits for
+// one. On failure it returns the status of the exchange and the reason.
+func (p *Pool) acquire(ctx context.Context, s Server, idempotent bool, sentOn []uint64) (*conn, Status, error) {
 	now := time.Now()
 	p.mu.Lock()
 	sc := p.connsOf(s)
-	var stale []*conn
-	var found *conn
-	for len(sc.idle) > 0 && found == nil {
-		c := sc.idle[len(sc.idle)-1]
-		sc.idle = sc.idle[:len(sc.idle)-1]
-		if c.usable(now, idempotent) {
-			found = c
-			continue
-		}
-		sc.open--
-		stale = append(stale, c)
-	}
+	found, stale := sc.takeIdle(now, idempotent, sentOn)
 	var w *waiter
 	switch {
 	case found != nil:
 	case sc.open < s.MaxConns:
 		sc.open++
+	case len(sc.idle) > 0:
+		// All idle connections are ones of sentOn. A new one takes the place of one.
+		stale = append(stale, sc.idle[0])
+		sc.idle = slices.Delete(sc.idle, 0, 1)
 	case len(sc.waiters) < maxWaiters && s.MaxWait > 0:
 		w = &waiter{ready: make(chan *conn, 1), maxConns: s.MaxConns}
 		sc.waiters = append(sc.waiters, w)
@@ -162,7 +156,7 @@
 		if found, err = p.wait(ctx, s, sc, w); err != nil {
 			return nil, NoRoom, err
 		}
-		if found != nil && !found.usable(time.Now(), idempotent) {
+		if found != nil && (slices.Contains(sentOn, found.id) || !found.usable(time.Now(), idempotent)) {
 			_ = found.net.Close()
 			found = nil
 		}
@@ -173,6 +167,26 @@
 	return p.dial(ctx, s, sc)
 }
 
+// takeIdle takes the latest idle connection that is usable and not one of sentOn, if there is
+// one. It also returns those that are not usable, which must be closed. The caller must
+// hold the pool's lock.
+func (sc *serverConns) takeIdle(now time.Time, idempotent bool, sentOn []uint64) (found *conn, stale []*conn) {
+	for i := len(sc.idle) - 1; i >= 0 && found == nil; i-- {
+		c := sc.idle[i]
+		if slices.Contains(sentOn, c.id) {
+			continue
+		}
+		sc.idle = slices.Delete(sc.idle, i, i+1)
+		if c.usable(now, idempotent) {
+			found = c
+			continue
+		}
+		sc.open--
+		stale = append(stale, c)
+	}
+	return found, stale
+}
+
 var errAllInUse = errors.New("all connections are in use")
 
 // wait waits until w is given a connection, or is allowed to open one, for at
@@ -241,6 +255,7 @@
 	defer cancel()
 	p.mu.Lock()
 	p.connectionsOpened++
+	id := uint64(p.connectionsOpened)
 	p.mu.Unlock()
 	begun := time.Now()
 	c, err := p.config.Dial(dialCtx, s.Address)
@@ -251,7 +266,9 @@
 		p.connClosed(sc)
 		return nil, NotSent, errors.Trace(err)
 	}
-	return newConn(c, p.config.Group, p.memory, defaultIdleTimeout), Answered, nil
+	opened := newConn(c, p.config.Group, p.memory, defaultIdleTimeout)
+	opened.id = id
+	return opened, Answered, nil
 }
 
 // usable reports whether an idle connection may carry another request.
