shuntmember: one VM at a time is responsible for a cold server, also after all VMs have started

A process took itself for the one responsible for every server as long as it had heard of no other one, and each VM that took over from another one had a whole share at once.

The class: a duty that follows from the member list, taken by processes that don't know that they don't know. Now the duties are divided among the entries that have had startupTime to hear of all others, counted from when they first heard of any; a process that has heard of none has no duty for as long as others may count it. Who takes over waits until what the one before it did counts no longer; who keeps a duty under both lists doesn't wait. Suspects and limits had such guards already.

--- a/shuntbalance/cold.go
+++ b/shuntbalance/cold.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// maxColdSenders is the number of VMs that may consider themselves responsible
+// MaxColdSenders is the number of VMs that may consider themselves responsible
 // for the same server at a time: one on each side of a network partition.
-const maxColdSenders = 2
+const MaxColdSenders = 2
 
 // coldWindow is longer than the second over which the load on a cold server is
 // limited, to allow for variation in network latency.
@@ -35,7 +35,7 @@
 		sent = sent[1:]
 	}
 	g.servers[s] = sent
-	if len(sent)+1 > int(burst/maxColdSenders) {
+	if len(sent)+1 > int(burst/MaxColdSenders) {
 		return false
 	}
 	g.servers[s] = append(sent, now)
--- a/shuntmember/member_list.go
+++ b/shuntmember/member_list.go
@@ -69,7 +69,9 @@
 type member struct {
 	report    Report
 	lastHeard time.Time
-	alive     bool
+	// since is when this VM first heard of the process.
+	since time.Time
+	alive bool
 	// weight is the VM's weight in the order of preference.
 	weight uint64
 }
@@ -93,6 +95,10 @@
 	// have been the same.
 	lastEntries  map[string][]netip.AddrPort
 	entriesSince map[string]time.Time
+	// duties holds who was on duty lately.
+	duties duties
+	// heardSince is when this VM first heard of another one; zero if it has not.
+	heardSince time.Time
 }
 
 // NewMemberList returns a list that only contains this VM. self.Start is the
@@ -156,8 +162,7 @@
 		}
 		m, ok := l.members[in.Address]
 		if !ok {
-			m = &member{weight: weight(in.Address, "")}
-			l.members[in.Address] = m
+			m = l.add(in.Address, now)
 		} else if !in.newerThan(m.report) {
 			continue
 		}
@@ -171,11 +176,24 @@
 		if ok && in.LinksLost != m.report.LinksLost {
 			klog.InfoS("VM reported its links to the backend servers", "vm", in.Address, "zone", in.Zone, "lost", in.LinksLost)
 		}
+		if !ok || in.Start != m.report.Start {
+			m.since = now
+		}
 		l.changed = l.changed || !ok || !m.alive || in.withoutCounters() != m.report.withoutCounters()
 		m.report, m.lastHeard, m.alive = in, now, true
 	}
 }
 
+// add adds a VM of which this one has heard for the first time.
+func (l *MemberList) add(address netip.AddrPort, now time.Time) *member {
+	m := &member{weight: weight(address, "")}
+	l.members[address] = m
+	if l.heardSince.IsZero() {
+		l.heardSince = now
+	}
+	return m
+}
+
 // TakeChanged reports whether anything but heartbeats and loads has changed since the
 // last call.
 func (l *MemberList) TakeChanged() bool {
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -42,11 +42,16 @@
 
 func equalCapacity(int) uint32 { return 400 }
 
-// seenBy returns the snapshot of VM i after it has received the reports.
+// snapshotOf returns the snapshot of VM i, which has known the reports for a long time.
 func snapshotOf(i int, reports []Report) *Snapshot {
 	r := NewMemberList(reports[i], regionOf)
 	now := time.Now()
 	r.Merge(reports, now)
+	for _, m := range r.members {
+		m.since = now.Add(-settledAge)
+	}
+	r.heardSince = now.Add(-settledAge)
+	r.Snapshot(now.Add(-2*dutyHandover), settledAge)
 	return r.Snapshot(now, settledAge)
 }
 
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -63,6 +63,7 @@
 	isReader bool
 	// entriesSince is since when the entries of each region have been the same.
 	entriesSince map[string]time.Time
+	duties       duties
 	// settled is false during startupTime.
 	settled bool
 	// alone is true if this process has not heard from any other VM since it started, and
@@ -136,6 +137,8 @@
 	}
 	s.setShares(l, known, usable)
 	s.entriesSince = l.trackEntries(s, now)
+	l.duties = l.duties.change(l.dutyHolders(s, now), now)
+	s.duties = l.duties
 	s.isReader = s.shouldRead(own, l.trackReaders(s.regions[own], now))
 	return s
 }
@@ -392,10 +395,11 @@
 func (s *Snapshot) IsEntry() bool { return s.settled && s.entries[s.self] }
 
 // IsResponsibleFor reports whether this VM is the one among the entries that is
-// responsible for the object with that name. All VMs that know the same entries
-// agree on it.
+// responsible for the object with that name. All VMs that know the same entries agree on
+// it. Nobody is for a moment after that has changed, and for some seconds after all VMs
+// have started.
 func (s *Snapshot) IsResponsibleFor(name string) bool {
-	return len(s.entries) == 0 || heaviest(maps.Keys(s.entries), name) == s.self
+	return s.duties.isFor(s.self, name, time.Now())
 }
 
 // InChargeOfSuspect returns the one VM that runs the request with the fingerprint while it
