shuntcall: a repeat of a request is recognized however its host is written

Routes are found whatever the case of the host and its port, but a suspect was known by the header as it stood, so that Host: h, H and h:80 were three requests for the guard. The same class as the query string before (what callers may vary). What is sent as published keeps its fingerprint, so that VMs of the last landing agree on it. TestIdentify has both cases, and failed on them before.

--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -17,12 +17,13 @@
 )
 
 // Identify returns the fingerprints of a request. The content is what stays the same when
-// a caller repeats it: the caller, the host, the path and the body. The request ID, the
-// method and the query string may differ from one time to the next.
+// a caller repeats it: the caller, the name of the host, the path and the body. The
+// request ID, the method, the query string and how the host is written may differ from one
+// time to the next.
 func Identify(caller string, r shuntupstream.Request) shuntguard.Identity {
 	path, _, _ := strings.Cut(r.Target, "?")
 	return shuntguard.Identity{
-		Content: hashOf(r.Body, caller, r.Host, path),
+		Content: hashOf(r.Body, caller, shuntroute.HostName(r.Host), path),
 		// VMs of builds before protocol 1 go by this.
 		Exact: hashOf(r.Body, caller, r.Method, r.Host, r.Target),
 	}
--- a/shuntcall/guard_test.go
+++ b/shuntcall/guard_test.go
@@ -28,6 +28,9 @@
 		"another path":         {"c", func(r *shuntupstream.Request) { r.Target = "/b?n=1" }, false},
 		"another body":         {"c", func(r *shuntupstream.Request) { r.Body = []byte("y") }, false},
 		"another host":         {"c", func(r *shuntupstream.Request) { r.Host = "i" }, false},
+		"another method":       {"c", func(r *shuntupstream.Request) { r.Method = "POST" }, true},
+		"the host in capitals": {"c", func(r *shuntupstream.Request) { r.Host = "H" }, true},
+		"the host with a port": {"c", func(r *shuntupstream.Request) { r.Host = "h:80" }, true},
 		"another caller":       {"d", func(*shuntupstream.Request) {}, false},
 	}
 	for name, c := range cases {
--- a/shuntroute/table.go
+++ b/shuntroute/table.go
@@ -52,7 +52,7 @@
 // Match returns the route of the host with the longest prefix of path. A port in
 // host is ignored.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, r := range t.hosts[hostName(host)] {
+	for _, r := range t.hosts[HostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -75,7 +75,7 @@
 // restricted, or nil if any route of the host is unrestricted.
 func (t *Table) Regions(host string) []string {
 	var out []string
-	for _, r := range t.hosts[hostName(host)] {
+	for _, r := range t.hosts[HostName(host)] {
 		if len(r.Regions) == 0 {
 			return nil
 		}
@@ -88,7 +88,9 @@
 	return out
 }
 
-func hostName(host string) string {
+// HostName returns the name by which routes are found, given the Host header of a request:
+// without a port, in lower case.
+func HostName(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
 	}
