--- a/shuntmember/protocol.go
+++ b/shuntmember/protocol.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// Older returns the number of other VMs that are alive and before protocol 1.
+func (s *Snapshot) Older() int { return len(s.older) }
+
 // olderOf returns those of the VMs that are alive and before protocol 1.
 func (s *Snapshot) olderOf(vms []netip.AddrPort) []netip.AddrPort {
 	if len(s.older) == 0 {
--- a/shuntrouter/metrics.go
+++ b/shuntrouter/metrics.go
@@ -21,12 +21,13 @@
 	docPaused   = shuntmetric.Doc{Name: "mulberryshunt_router_paused_servers", Type: "Gauge", Text: "Backend servers that want no requests from this VM for a time.", Since: "0.5"}
 	docRelayed  = shuntmetric.Doc{Name: "mulberryshunt_router_relayed_total", Labels: "Why, End", Type: "Counter", Text: "Requests that another VM was asked to serve, by why and how that ended; after Refused the next VM was asked.", Since: "0.5"}
 	docLinks    = shuntmetric.Doc{Name: "mulberryshunt_router_links_lost", Type: "Gauge", Text: "1 while the VM has lost its links to the backend servers, else 0.", Since: "0.5"}
+	docOlder    = shuntmetric.Doc{Name: "mulberryshunt_router_older_vms", Type: "Gauge", Text: "Other VMs alive that run a build before protocol 1.", Since: "0.6"}
 	docSeconds  = shuntmetric.Doc{Name: "mulberryshunt_router_seconds", Labels: "End", Type: "Histogram", Unit: "seconds", Text: "Time from the arrival of a request to its reply.", Since: "0.2"}
 )
 
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited, docRelayed, docLinks, docLeaving, docPaused}
+	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited, docRelayed, docLinks, docLeaving, docPaused, docOlder}
 }
 
 // registerGauges registers the metrics that are read at collection time.
@@ -48,6 +49,7 @@
 		}
 		return 0
 	})
+	shuntmetric.Gauge(set, docOlder, "", func() float64 { return float64(r.node.Snapshot().Older()) })
 	shuntmetric.Gauge(set, docRevision, "", func() float64 { return float64(r.follower.View().Revision) })
 }
 
