--- a/shuntmember/protocol.go
+++ b/shuntmember/protocol.go
@@ -8,11 +8,6 @@
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 )
 
-// Protocol is the version of what VMs say to each other that this build speaks. VMs of
-// different builds run side by side during an upgrade; docs/design/protocol.md lists what
-// the versions understand of each other.
-const Protocol = 1
-
 const (
 	// protocolShift is the place of the protocol in the flags of a report, which builds
 	// before protocol 1 leave at 0 and ignore.
@@ -39,7 +34,7 @@
 
 // olderOf returns those of the VMs that are alive and before protocol 1.
 func (s *Snapshot) olderOf(vms []netip.AddrPort) []netip.AddrPort {
-	if len(s.older) == 0 {
+	if Protocol == 0 || len(s.older) == 0 {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(vms), func(a netip.AddrPort) bool { return !s.older[a] })
