--- a/shuntmember/fuzz_test.go
+++ b/shuntmember/fuzz_test.go
@@ -15,6 +15,8 @@
 	f.Add(earlierDatagram([]shuntguard.Suspicion{{Fingerprint: 7, Servers: []string{"i-1"}, Strikes: 2, Age: 3 * time.Second}}, newReports(3, equalCapacity)))
 	f.Add(encodeDatagram(nil))
 	f.Add([]byte{datagramVersion, 1, 0})
+	f.Add(recorded(f, "546346d-reports"))
+	f.Add(recorded(f, "b1fe229-reports"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, reports, err := decodeDatagram(b)
 		if err != nil {
@@ -38,6 +40,9 @@
 	f.Add(suspicions.datagram([]shuntguard.Suspicion{{Fingerprint: 7, Strikes: 2, Age: 3 * time.Second, Episodes: []uint32{1, 2}}, {Fingerprint: 8}}))
 	f.Add(leaving.datagram([]shuntbalance.LeavingHint{{Server: shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}, Age: time.Second}}))
 	f.Add(limits.datagram([]shuntbalance.LimitHint{{Server: shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}, Region: "a", Limit: 4.1, Age: time.Second}}))
+	for _, name := range []string{"b1fe229-suspicions", "b1fe229-leaving", "b1fe229-limits"} {
+		f.Add(recorded(f, name))
+	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		for _, s := range []spreader{suspicions, leaving, limits} {
 			if _, err := s.handle(b); err != nil {
@@ -59,6 +64,8 @@
 	server := shuntbalance.Incarnation{ID: "i-1", StartMillis: 1700000000000}
 	f.Add(encodeEach(claimsVersion, []shuntbalance.RateClaim{{Server: server, Region: "a", Limit: 23.8, Age: time.Second, Demand: 4, Held: 2}}, appendClaim)[0][1:])
 	f.Add(encodeEach(grantsVersion, []shuntbalance.RateGrant{{Server: server, Rate: 7.25}}, appendGrant)[0][1:])
+	f.Add(recorded(f, "546346d-claims")[1:])
+	f.Add(recorded(f, "546346d-grants")[1:])
 	f.Fuzz(func(t *testing.T, b []byte) {
 		claims, grants := &reader{rest: b}, &reader{rest: b}
 		roundTrip(t, readAll(claims, (*reader).claim), claims.err, appendClaim, (*reader).claim)
--- a/shuntmember/protocol_test.go
+++ b/shuntmember/protocol_test.go
@@ -1,7 +1,9 @@
 package shuntmember
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"encoding/hex"
 	"net"
 	"net/netip"
@@ -13,6 +15,7 @@
 	"testing"
 	"time"
 
+	"mulberryshunt.example/mulberryshunt/shuntbalance"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 )
@@ -57,15 +60,37 @@
 			}
 		})
 	}
-	t.Run("b1fe229-suspicions", func(t *testing.T) {
-		r := &reader{rest: recorded(t, "b1fe229-suspicions")[1:]}
-		want := []shuntguard.Suspicion{{Fingerprint: 0xdba69dfaf627c82e, Strikes: 1, Age: 1500 * time.Millisecond, Episodes: []uint32{7, 9}}}
-		if got := readAll(r, (*reader).briefSuspicion); r.err != nil || !reflect.DeepEqual(got, want) {
+	server := shuntbalance.Incarnation{ID: "i-6632adcb1d", StartMillis: 1764945622123}
+	checkRecorded(t, "b1fe229-suspicions", (*reader).briefSuspicion, shuntguard.Suspicion{Fingerprint: 0xdba69dfaf627c82e, Strikes: 1, Age: 1500 * time.Millisecond, Episodes: []uint32{7, 9}})
+	checkRecorded(t, "546346d-claims", (*reader).claim, shuntbalance.RateClaim{Server: server, Region: "saga", Limit: 23.8, Age: time.Second, Demand: 4, Held: 2})
+	checkRecorded(t, "546346d-grants", (*reader).grant, shuntbalance.RateGrant{Server: server, Rate: 7.25})
+	checkRecorded(t, "b1fe229-leaving", (*reader).leaving, shuntbalance.LeavingHint{Server: server, Age: 1200 * time.Millisecond})
+	checkRecorded(t, "b1fe229-limits", (*reader).limitHint, shuntbalance.LimitHint{Server: server, Region: "saga", Limit: 4.1, Age: time.Second})
+}
+
+// checkRecorded checks that a datagram holds one thing, and reads as it was meant.
+func checkRecorded[T any](t *testing.T, name string, decode func(*reader) T, want T) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		r := &reader{rest: recorded(t, name)[1:]}
+		if got := readAll(r, decode); r.err != nil || !reflect.DeepEqual(got, []T{want}) {
 			t.Errorf("got %+v %v; want %+v", got, r.err, want)
 		}
 	})
 }
 
+// TestRecordedState checks that the state that an earlier build has sent is read.
+func TestRecordedState(t *testing.T) {
+	var reply StateReply
+	if err := gob.NewDecoder(bytes.NewReader(recorded(t, "546346d-state"))).Decode(&reply); err != nil {
+		t.Fatal(err)
+	}
+	want := StateReply{Revision: 907, Whole: true, Keys: []string{"op/config"}, Revisions: []int64{907}, Values: [][]byte{[]byte("{}")}, Removed: []bool{false}, Unchanged: []string{"servers/i-1"}}
+	if !reflect.DeepEqual(reply, want) {
+		t.Errorf("got %+v; want %+v", reply, want)
+	}
+}
+
 // TestProtocolPassedOn checks that a VM's protocol is not forgotten when a VM that does not
 // know of protocols passes its report on, and that it is when the VM has gone back.
 func TestProtocolPassedOn(t *testing.T) {
