--- a/shuntmember/duty.go
+++ b/shuntmember/duty.go
@@ -54,7 +54,7 @@
 	ready := s.settled && !s.alone && (l.heardSince.IsZero() || now.Sub(l.heardSince) > startupTime)
 	var out []netip.AddrPort
 	for vm := range s.entries {
-		if m, ok := l.members[vm]; ok && now.Sub(m.since) > startupTime || vm == s.self && ready {
+		if m, ok := l.members[vm]; (ok && now.Sub(m.since) > startupTime) || (vm == s.self && ready) {
 			out = append(out, vm)
 		}
 	}
