--- a/shuntmember/protocol_test.go
+++ b/shuntmember/protocol_test.go
@@ -85,7 +85,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(recorded(t, "546346d-state"))).Decode(&reply); err != nil {
 		t.Fatal(err)
 	}
-	want := StateReply{Revision: 907, Whole: true, Keys: []string{"op/config"}, Revisions: []int64{907}, Values: [][]byte{[]byte("{}")}, Removed: []bool{false}, Unchanged: []string{"servers/i-1"}}
+	want := StateReply{Revision: 907, Whole: true, Keys: []string{"routes"}, Revisions: []int64{907}, Values: [][]byte{[]byte("{}")}, Removed: []bool{false}, Unchanged: []string{"i-1"}}
 	if !reflect.DeepEqual(reply, want) {
 		t.Errorf("got %+v; want %+v", reply, want)
 	}
