VMs before protocol 1 are told of suspects whose shards they have delegated

A newer VM to which an older one delegates shards knows the request only by the older one's exact fingerprint. It recorded the crash under that, and told older VMs only of requests of which it knew both fingerprints: the older VMs never heard, and each tried the query for itself, beside a second one whose query string varied and crowded out what they told each other.

Older VMs are now told of each suspect under all its fingerprints. Case 'delegated by an older VM' of TestExactFingerprints fails without it. Nothing of this runs where no older VM is alive.

--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -110,6 +110,8 @@
 	heldUntil time.Time
 	// sends counts how often the suspicion has been exported since it last changed.
 	sends int
+	// olderSends counts the same for VMs of older builds.
+	olderSends int
 	// remote means that another VM observed the crash. That VM runs the suspect
 	// first.
 	remote bool
@@ -535,7 +537,7 @@
 
 // changed makes a suspicion news for all other VMs.
 func (g *Guard) changed(fingerprint uint64, s *suspicion) {
-	s.sends = 0
+	s.sends, s.olderSends = 0, 0
 	for _, f := range g.exact {
 		if f.content == fingerprint {
 			f.sends = 0
--- a/shuntguard/identity.go
+++ b/shuntguard/identity.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -106,47 +107,63 @@
 	return fingerprint
 }
 
-// ExactTable tells of the suspects of a Guard by their exact fingerprints.
-type ExactTable struct{ guard *Guard }
+// OlderTable tells of the suspects of a Guard by all fingerprints under which VMs of older
+// builds may know them: the exact ones, and that of the content, which is an exact one where
+// such a VM has delegated the request, and reaches them where it is delegated to them.
+type OlderTable struct{ guard *Guard }
 
-// Exact returns the suspects by their exact fingerprints, for VMs of older builds.
-func (g *Guard) Exact() ExactTable { return ExactTable{g} }
+// Older returns the suspects for VMs of older builds.
+func (g *Guard) Older() OlderTable { return OlderTable{g} }
 
 // Export returns up to limit suspects, in the order of Guard.Export.
-func (t ExactTable) Export(limit int) []Suspicion { return t.export(limit, false) }
+func (t OlderTable) Export(limit int) []Suspicion { return t.export(limit, math.MaxInt) }
 
 // News returns up to limit suspects that have changed lately.
-func (t ExactTable) News(limit int) []Suspicion { return t.export(limit, true) }
+func (t OlderTable) News(limit int) []Suspicion { return t.export(limit, newsSends) }
 
 // Merge adds suspects as Guard.Merge does.
-func (t ExactTable) Merge(in []Suspicion) { t.guard.Merge(in) }
+func (t OlderTable) Merge(in []Suspicion) { t.guard.Merge(in) }
 
-func (t ExactTable) export(limit int, newsOnly bool) []Suspicion {
+// olderForm is a suspect under one of its fingerprints.
+type olderForm struct {
+	fingerprint uint64
+	suspicion   *suspicion
+	sends       *int
+}
+
+func (t OlderTable) export(limit, maxSends int) []Suspicion {
 	now := time.Now()
 	g := t.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var chosen []uint64
+	var forms []olderForm
+	add := func(fingerprint uint64, s *suspicion, sends *int) {
+		if !s.expired(now) && *sends < maxSends {
+			forms = append(forms, olderForm{fingerprint, s, sends})
+		}
+	}
+	for f, s := range g.suspects {
+		add(f, s, &s.olderSends)
+	}
 	for e, f := range g.exact {
-		if s, ok := g.suspects[f.content]; ok && !s.expired(now) && (!newsOnly || f.sends < newsSends) {
-			chosen = append(chosen, e)
+		if s, ok := g.suspects[f.content]; ok {
+			add(e, s, &f.sends)
 		}
 	}
-	slices.SortFunc(chosen, func(a, b uint64) int {
-		x, y := g.suspects[g.exact[a].content], g.suspects[g.exact[b].content]
-		if x.repeated() != y.repeated() {
-			if x.repeated() {
+	slices.SortFunc(forms, func(a, b olderForm) int {
+		if a.suspicion.repeated() != b.suspicion.repeated() {
+			if a.suspicion.repeated() {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(g.exact[a].sends, g.exact[b].sends), y.crashedAt.Compare(x.crashedAt), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(*a.sends, *b.sends), b.suspicion.crashedAt.Compare(a.suspicion.crashedAt), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
-	chosen = chosen[:min(len(chosen), limit)]
-	out := make([]Suspicion, len(chosen))
-	for i, e := range chosen {
-		g.exact[e].sends++
-		out[i] = g.suspects[g.exact[e].content].export(e, now)
+	forms = forms[:min(len(forms), limit)]
+	out := make([]Suspicion, len(forms))
+	for i, f := range forms {
+		*f.sends++
+		out[i] = f.suspicion.export(f.fingerprint, now)
 	}
 	return out
 }
--- a/shuntguard/identity_test.go
+++ b/shuntguard/identity_test.go
@@ -22,16 +22,17 @@
 		told             []uint64
 	}{
 		"nothing known":                  {func(g *Guard) { g.Recognize(id) }, false, false, nil},
-		"suspected by others":            {func(g *Guard) { g.Merge([]Suspicion{suspected}); g.Recognize(id) }, true, false, []uint64{2}},
-		"in quarantine elsewhere":        {func(g *Guard) { g.Merge([]Suspicion{quarantined}); g.Recognize(id) }, true, true, []uint64{2}},
-		"heard of after it had come":     {func(g *Guard) { g.RecordLost(id); g.Merge([]Suspicion{quarantined}) }, true, true, []uint64{2}},
+		"suspected by others":            {func(g *Guard) { g.Merge([]Suspicion{suspected}); g.Recognize(id) }, true, false, []uint64{1, 2}},
+		"in quarantine elsewhere":        {func(g *Guard) { g.Merge([]Suspicion{quarantined}); g.Recognize(id) }, true, true, []uint64{1, 2}},
+		"heard of after it had come":     {func(g *Guard) { g.RecordLost(id); g.Merge([]Suspicion{quarantined}) }, true, true, []uint64{1, 2}},
 		"harmless, suspected by others":  {func(g *Guard) { g.RecordSuccess(1); g.Merge([]Suspicion{suspected}); g.Recognize(id) }, false, false, nil},
-		"harmless, then a quarantine":    {func(g *Guard) { g.RecordSuccess(1); g.Merge([]Suspicion{quarantined}); g.Recognize(id) }, true, true, []uint64{2}},
-		"crashed here":                   {func(g *Guard) { g.RecordCrash(1, "s", false); g.RecordLost(id) }, true, false, []uint64{2}},
-		"lost, then found to be a crash": {func(g *Guard) { g.RecordLost(id); g.RecordCrash(1, "s", false) }, true, false, []uint64{2}},
+		"harmless, then a quarantine":    {func(g *Guard) { g.RecordSuccess(1); g.Merge([]Suspicion{quarantined}); g.Recognize(id) }, true, true, []uint64{1, 2}},
+		"crashed here":                   {func(g *Guard) { g.RecordCrash(1, "s", false); g.RecordLost(id) }, true, false, []uint64{1, 2}},
+		"lost, then found to be a crash": {func(g *Guard) { g.RecordLost(id); g.RecordCrash(1, "s", false) }, true, false, []uint64{1, 2}},
 		"lost, without a crash":          {func(g *Guard) { g.RecordLost(id) }, false, false, nil},
-		"repeats that differ":            {func(g *Guard) { g.RecordLost(id); g.RecordCrash(1, "s", false); g.Recognize(varied) }, true, false, []uint64{2, 3}},
-		"crashed for an older VM":        {func(g *Guard) { g.RecordLost(id); g.RecordCrash(2, "s", true) }, true, true, []uint64{2}},
+		"repeats that differ":            {func(g *Guard) { g.RecordLost(id); g.RecordCrash(1, "s", false); g.Recognize(varied) }, true, false, []uint64{1, 2, 3}},
+		"crashed for an older VM":        {func(g *Guard) { g.RecordLost(id); g.RecordCrash(2, "s", true) }, true, true, []uint64{1, 2}},
+		"delegated by an older VM":       {func(g *Guard) { g.RecordCrash(2, "s", false) }, false, false, []uint64{2}},
 		"cleared":                        {func(g *Guard) { g.RecordLost(id); g.RecordCrash(1, "s", false); g.RecordSuccess(1) }, false, false, nil},
 	}
 	for name, c := range cases {
@@ -44,7 +45,7 @@
 					t.Errorf("suspect %v, %+v; want %v, refused: %v", got, d, c.suspect, c.refused)
 				}
 				var told []uint64
-				for _, s := range g.Exact().Export(10) {
+				for _, s := range g.Older().Export(10) {
 					told = append(told, s.Fingerprint)
 				}
 				slices.Sort(told)
@@ -72,15 +73,15 @@
 		last := uint64(2*maxExact - 1)
 		g.RecordCrash(last, "s", false)
 		for range newsSends {
-			if got := g.Exact().News(10); len(got) != 1 {
-				t.Fatalf("got %v; want one suspect", got)
+			if got := g.Older().News(10); len(got) != 2 {
+				t.Fatalf("got %v; want one suspect under two fingerprints", got)
 			}
 		}
-		if got := g.Exact().News(10); len(got) != 0 {
+		if got := g.Older().News(10); len(got) != 0 {
 			t.Errorf("got %v; want nothing, since nothing has changed", got)
 		}
 		g.RecordCrash(last, "t", true)
-		if got := g.Exact().News(10); len(got) != 1 || got[0].Strikes != 1 {
+		if got := g.Older().News(10); len(got) != 2 || got[0].Strikes != 1 {
 			t.Errorf("got %v; want the quarantine", got)
 		}
 	})
--- a/shuntmember/member_test.go
+++ b/shuntmember/member_test.go
@@ -463,7 +463,7 @@
 		Address: address(i), Zone: "a0", Capacity: 400, RegionOf: regionOf, Group: group, Random: shuntrandom.New(uint64(i + 1)),
 		Seeds:      func() []netip.AddrPort { return []netip.AddrPort{address(0)} },
 		Guard:      guard,
-		ExactGuard: guard.Exact(),
+		OlderGuard: guard.Older(),
 		Notices:    shuntbalance.NewNotices(shuntbalance.NoticesConfig{}),
 		RateLimits: shuntbalance.NewRateLimiter(shuntbalance.RateLimiterConfig{}),
 		ChangesSince: func(int64) shuntcatalog.Delta {
--- a/shuntmember/node.go
+++ b/shuntmember/node.go
@@ -64,8 +64,8 @@
 	// Guard provides and receives the suspicions that are exchanged with the
 	// reports.
 	Guard NewsTable[shuntguard.Suspicion]
-	// ExactGuard provides them by their exact fingerprints, for VMs of older builds.
-	ExactGuard NewsTable[shuntguard.Suspicion]
+	// OlderGuard provides them as VMs of older builds know them.
+	OlderGuard NewsTable[shuntguard.Suspicion]
 	// Notices provides and receives the backend servers that are leaving.
 	Notices NewsTable[shuntbalance.LeavingHint]
 	// RateLimits holds the limits of backend servers that this VM divides with others.
@@ -100,7 +100,7 @@
 	n.limits = &limitExchange{self: c.Address, limits: c.RateLimits, divider: shuntbalance.NewRateDivider(), snapshot: n.Snapshot, send: sendTo}
 	n.suspicions = newSuspicionExchange(c.Guard, n.Snapshot)
 	n.suspicions.sample, n.suspicions.send = n.sample, sendTo
-	n.older = newOlderExchange(c.ExactGuard, n.Snapshot)
+	n.older = newOlderExchange(c.OlderGuard, n.Snapshot)
 	n.older.sample, n.older.send = n.sample, sendTo
 	n.leaving = newLeavingExchange(c.Notices, n.Snapshot)
 	n.leaving.sample, n.leaving.send = n.sample, sendTo
--- a/shuntmember/protocol.go
+++ b/shuntmember/protocol.go
@@ -19,8 +19,8 @@
 // protocol 1, and the number told to one that has just started.
 const maxOlderSuspicions = 40
 
-// newOlderExchange returns an exchange that tells VMs before protocol 1 of suspects by
-// their exact fingerprints, in a datagram of reports, which is where they expect them.
+// newOlderExchange returns an exchange that tells VMs before protocol 1 of suspects in a
+// datagram of reports, which is where they expect them.
 func newOlderExchange(table NewsTable[shuntguard.Suspicion], snapshot func() *Snapshot) *newsExchange[shuntguard.Suspicion] {
 	return &newsExchange[shuntguard.Suspicion]{
 		header: func(count int) []byte { return []byte{datagramVersion, byte(count)} }, toOlder: true,
--- a/shuntmember/suspicions_test.go
+++ b/shuntmember/suspicions_test.go
@@ -75,7 +75,7 @@
 	v.servesAt = time.Now().Add(listingTime)
 	v.guard = shuntguard.New(shuntguard.Config{Random: shuntrandom.New(f.random.Uint64() | 1), OnNews: func() { v.news = true }})
 	snapshot := func() *Snapshot { return f.snapshot(i) }
-	v.exchange, v.toOlder = newSuspicionExchange(v.guard, snapshot), newOlderExchange(v.guard.Exact(), snapshot)
+	v.exchange, v.toOlder = newSuspicionExchange(v.guard, snapshot), newOlderExchange(v.guard.Older(), snapshot)
 	if f.older(i) {
 		v.exchange, v.toOlder = olderBuildExchange(v.guard, snapshot), nil
 	}
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -145,7 +145,7 @@
 		Address: s.PeerAddress, Zone: s.Zone, Capacity: s.Capacity, Seeds: c.Seeds, Group: c.Group, Random: r.random,
 		RegionOf:     func(zone string) string { return s.RegionByZone[zone] },
 		Guard:        r.guard,
-		ExactGuard:   r.guard.Exact(),
+		OlderGuard:   r.guard.Older(),
 		Notices:      r.notices,
 		RateLimits:   r.rateLimiter,
 		ChangesSince: func(revision int64) shuntcatalog.Delta { return r.follower.ChangesSince(r.ctx, revision) },
