shuntguard: exact fingerprints are found by their content, not by scanning all; same behavior

Each crash, each suspicion from another VM that was news, and each request lost without an answer went through up to 2,048 exact fingerprints under the guard's lock, to find the few of one request. They are indexed by content now; only the eviction from a full table still looks at all, without copying the keys, as makeRoom does. The order within a kind of suspects stood in Guard.export and again for older VMs: one compareTurns now. The comment on OlderTable.Export claimed the order of Guard.Export, which also reserves places.

--- a/shuntguard/guard.go
+++ b/shuntguard/guard.go
@@ -165,8 +165,9 @@
 	// is full, it replaces olderHarmless, whose entries are dropped.
 	harmless, olderHarmless map[uint64]bool
 	lastCrash               time.Time
-	// exact holds exact fingerprints of requests.
-	exact map[uint64]*exactForm
+	// exact holds exact fingerprints of requests, exactByContent the same by the content.
+	exact          map[uint64]*exactForm
+	exactByContent map[uint64][]*exactForm
 }
 
 var (
@@ -218,6 +219,8 @@
 		suspects:    map[uint64]*suspicion{},
 		harmless:    map[uint64]bool{},
 		exact:       map[uint64]*exactForm{},
+
+		exactByContent: map[uint64][]*exactForm{},
 	}
 	shuntmetric.Gauge(set, docSuspects, "", func() float64 { return float64(g.count()) })
 	return g
@@ -482,10 +485,7 @@
 	for _, list := range [][]uint64{repeated, single} {
 		slices.SortFunc(list, func(a, b uint64) int {
 			x, y := g.suspects[a], g.suspects[b]
-			if c := cmp.Compare(x.sends, y.sends); c != 0 {
-				return c
-			}
-			return y.crashedAt.Compare(x.crashedAt)
+			return compareTurns(x, x.sends, y, y.sends)
 		})
 	}
 	reserved := max(min(len(repeated), int(math.Ceil(repeatedPart*float64(limit)))), min(len(repeated), limit-len(single)))
@@ -499,6 +499,12 @@
 	return out
 }
 
+// compareTurns orders suspects that were told so often: those that were told least often
+// come first, of these the one with the latest crash.
+func compareTurns(x *suspicion, xSends int, y *suspicion, ySends int) int {
+	return cmp.Or(cmp.Compare(xSends, ySends), y.crashedAt.Compare(x.crashedAt))
+}
+
 func (s *suspicion) export(fingerprint uint64, now time.Time) Suspicion {
 	return Suspicion{Fingerprint: fingerprint, Servers: slices.Clone(s.servers), Strikes: s.strikes, Age: now.Sub(s.crashedAt), Episodes: slices.Clone(s.episodes), Observed: !s.observedAt.IsZero()}
 }
@@ -538,10 +544,8 @@
 // changed makes a suspicion news for all other VMs.
 func (g *Guard) changed(fingerprint uint64, s *suspicion) {
 	s.sends, s.olderSends = 0, 0
-	for _, f := range g.exact {
-		if f.content == fingerprint {
-			f.sends = 0
-		}
+	for _, f := range g.exactByContent[fingerprint] {
+		f.sends = 0
 	}
 }
 
--- a/shuntguard/identity.go
+++ b/shuntguard/identity.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -26,8 +25,8 @@
 
 // exactForm is one exact fingerprint of a request.
 type exactForm struct {
-	content uint64
-	seenAt  time.Time
+	fingerprint, content uint64
+	seenAt               time.Time
 	// sends counts how often it has been exported since the suspicion last changed.
 	sends int
 }
@@ -80,25 +79,33 @@
 		f.seenAt = now
 		return false
 	}
-	of := 0
-	for _, f := range g.exact {
-		if f.content == id.Content {
-			of++
-		}
-	}
-	if of >= maxExactPerSuspect {
+	if len(g.exactByContent[id.Content]) >= maxExactPerSuspect {
 		return false
 	}
 	if len(g.exact) >= maxExact {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(g.exact)), func(a, b uint64) int {
-			return g.exact[a].seenAt.Compare(g.exact[b].seenAt)
-		})
-		delete(g.exact, oldest)
+		g.removeOldestExact()
 	}
-	g.exact[id.Exact] = &exactForm{content: id.Content, seenAt: now}
+	f := &exactForm{fingerprint: id.Exact, content: id.Content, seenAt: now}
+	g.exact[id.Exact] = f
+	g.exactByContent[id.Content] = append(g.exactByContent[id.Content], f)
 	return true
 }
 
+func (g *Guard) removeOldestExact() {
+	var oldest *exactForm
+	for _, f := range g.exact {
+		if oldest == nil || f.seenAt.Before(oldest.seenAt) {
+			oldest = f
+		}
+	}
+	delete(g.exact, oldest.fingerprint)
+	rest := slices.DeleteFunc(g.exactByContent[oldest.content], func(f *exactForm) bool { return f == oldest })
+	g.exactByContent[oldest.content] = rest
+	if len(rest) == 0 {
+		delete(g.exactByContent, oldest.content)
+	}
+}
+
 // contentOf returns the fingerprint of the content, given that or an exact one.
 func (g *Guard) contentOf(fingerprint uint64) uint64 {
 	if f, ok := g.exact[fingerprint]; ok {
@@ -115,7 +122,7 @@
 // Older returns the suspects for VMs of older builds.
 func (g *Guard) Older() OlderTable { return OlderTable{g} }
 
-// Export returns up to limit suspects, in the order of Guard.Export.
+// Export returns up to limit suspects, repeated ones first, else in the order of Guard.Export.
 func (t OlderTable) Export(limit int) []Suspicion { return t.export(limit, math.MaxInt) }
 
 // News returns up to limit suspects that have changed lately.
@@ -142,12 +149,10 @@
 			forms = append(forms, olderForm{fingerprint, s, sends})
 		}
 	}
-	for f, s := range g.suspects {
-		add(f, s, &s.olderSends)
-	}
-	for e, f := range g.exact {
-		if s, ok := g.suspects[f.content]; ok {
-			add(e, s, &f.sends)
+	for content, s := range g.suspects {
+		add(content, s, &s.olderSends)
+		for _, f := range g.exactByContent[content] {
+			add(f.fingerprint, s, &f.sends)
 		}
 	}
 	slices.SortFunc(forms, func(a, b olderForm) int {
@@ -157,7 +162,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(*a.sends, *b.sends), b.suspicion.crashedAt.Compare(a.suspicion.crashedAt), cmp.Compare(a.fingerprint, b.fingerprint))
+		return cmp.Or(compareTurns(a.suspicion, *a.sends, b.suspicion, *b.sends), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
 	forms = forms[:min(len(forms), limit)]
 	out := make([]Suspicion, len(forms))
