--- a/shuntmember/news.go
+++ b/shuntmember/news.go
@@ -116,7 +116,7 @@
 
 // tellNewcomer sends things to a VM that has just started.
 func (x *newsExchange[T]) tellNewcomer(vm Report) {
-	if !x.toOlder || (vm.Protocol == 0 && Protocol > 0) {
+	if !x.toOlder || vm.isOlder() {
 		x.tell([]netip.AddrPort{vm.Address}, x.maxJoin)
 	}
 }
--- a/shuntmember/protocol.go
+++ b/shuntmember/protocol.go
@@ -29,12 +29,15 @@
 	}
 }
 
+// isOlder reports whether the VM is before protocol 1, and this one is not.
+func (r Report) isOlder() bool { return r.Protocol == 0 && Protocol > 0 }
+
 // Older returns the number of other VMs that are alive and before protocol 1.
 func (s *Snapshot) Older() int { return len(s.older) }
 
 // olderOf returns those of the VMs that are alive and before protocol 1.
 func (s *Snapshot) olderOf(vms []netip.AddrPort) []netip.AddrPort {
-	if Protocol == 0 || len(s.older) == 0 {
+	if len(s.older) == 0 {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(vms), func(a netip.AddrPort) bool { return !s.older[a] })
--- a/shuntmember/snapshot.go
+++ b/shuntmember/snapshot.go
@@ -103,7 +103,7 @@
 	}
 	for _, m := range l.members {
 		region := l.regionOf(m.report.Zone)
-		if m.alive && m.report.Protocol == 0 {
+		if m.alive && m.report.isOlder() {
 			s.older[m.report.Address] = true
 		}
 		if now.Sub(m.lastHeard) <= shareRetention {
