--- a/shuntcall/guard.go
+++ b/shuntcall/guard.go
@@ -59,7 +59,7 @@
 // large fleet would lose a server each. The caller must call release when the request has
 // ended, with whether a server may have run it without answering.
 func (c *Caller) Admit(id shuntguard.Identity, regions []string) (a Admission, release func(lost bool)) {
-	none := func(lost bool) {
+	recordLost := func(lost bool) {
 		if lost {
 			c.config.Guard.RecordLost(id)
 		}
@@ -67,26 +67,26 @@
 	c.config.Guard.Recognize(id)
 	fingerprint := id.Content
 	if _, suspected := c.config.Guard.Suspected(fingerprint); !suspected {
-		return Admission{}, none
+		return Admission{}, recordLost
 	}
 	if left := c.config.Guard.QuarantineLeft(fingerprint); left > 0 {
-		return Admission{Refused: shuntoutcome.Quarantined.String(), RetryAfter: left}, none
+		return Admission{Refused: shuntoutcome.Quarantined.String(), RetryAfter: left}, recordLost
 	}
 	vm, self, ok := c.config.Fleet.InCharge(fingerprint, regions)
 	switch {
 	case !ok:
-		return Admission{Refused: shuntoutcome.CrashSuspect.String()}, none
+		return Admission{Refused: shuntoutcome.CrashSuspect.String()}, recordLost
 	case !self:
-		return Admission{Relay: true, RelayTo: vm}, none
+		return Admission{Relay: true, RelayTo: vm}, recordLost
 	}
 	v := c.config.Guard.AdmitTrial(fingerprint)
 	switch {
 	case v.Refused != shuntoutcome.None || v.Wait != nil:
-		return Admission{Refused: shuntoutcome.CrashSuspect.String(), RetryAfter: v.RetryAfter}, none
+		return Admission{Refused: shuntoutcome.CrashSuspect.String(), RetryAfter: v.RetryAfter}, recordLost
 	case v.Suspect:
 		return Admission{Suspect: true}, func(lost bool) { c.config.Guard.EndTrial(fingerprint, lost) }
 	}
-	return Admission{}, none
+	return Admission{}, recordLost
 }
 
 // silentAfter is how long a server that answers nothing may take for a request until it
