--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mulberryshuntd ] && [ -x target/review-2/rig ] || exit 2
-exec target/review-2/rig poison review/7/record.txt
+exec target/review-2/rig poison-dark review/7/record.txt
