shuntmemory: one account of the memory held for others; replies count until they are no longer needed

Callers saw: daemons killed for their memory, and one query in five lost, while replicas of 3 shards of 20 sent 8 MB after their answers. Cause: the limit on replies counted a body only while it was read. Complete bodies were then held by the query until its last shard was in, without a bound; heads never counted. There was a limit for backend servers and another for other VMs. Change: an account for the process. A request's holder takes what its replies take, heads and complete bodies too, until the request ends or the reply is replaced. Of a shard's part only the records stay that the answer may need. Large request bodies are no longer copied for each shard.

--- a/shuntcall/caller.go
+++ b/shuntcall/caller.go
@@ -317,6 +317,8 @@
 	if e.outcome.Status == shuntupstream.Answered && r.isSuccess(e.outcome.Reply) {
 		return Result{Status: Served, Reply: e.outcome.Reply, HasReply: true, Server: e.server.ID, Attempts: r.attempts, Latency: time.Since(e.started)}, true
 	}
+	// Only the last failure may be passed on.
+	r.call.Request.Held.Add(-r.last.outcome.Reply.Held)
 	r.last, r.hasLast = e, true
 	r.sentOn = append(r.sentOn, e.outcome.Conn)
 	r.unreachable = r.unreachable && e.outcome.Status == shuntupstream.NotSent
--- a/shuntcall/caller_test.go
+++ b/shuntcall/caller_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -480,3 +481,25 @@
 		})
 	}
 }
+
+// TestKeepTopRecords checks that parts that are trimmed merge to the same answer.
+func TestKeepTopRecords(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var parts, kept [][]byte
+		top := random.IntN(50)
+		for range 3 {
+			part := make([]byte, random.IntN(3*minTrimmedBytes))
+			for i := range part {
+				part[i] = byte(random.IntN(2))
+			}
+			parts, kept = append(parts, part), append(kept, keepTopRecords(part, top))
+			if n := len(kept[len(kept)-1]); n >= minTrimmedBytes {
+				t.Fatalf("%d bytes kept for %d records", n, top)
+			}
+		}
+		if !bytes.Equal(MergeTopRecords(parts, top), MergeTopRecords(kept, top)) {
+			t.Fatalf("the %d greatest records differ", top)
+		}
+	}
+}
--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -246,7 +246,10 @@
 	})
 	out := shardResult{shards: 1, status: res.Status, lost: res.Lost, latency: res.Latency, elapsed: time.Since(q.Start), attempts: res.Attempts, reason: shard + ": " + res.Reason}
 	if res.Status == Served {
-		out.bodies = [][]byte{res.Reply.Body}
+		// Until the last shard has answered, only what the answer may need is held.
+		kept := keepTopRecords(res.Reply.Body, q.Route.TopRecords)
+		q.Request.Held.Add(int64(len(kept)) - res.Reply.Held)
+		out.bodies = [][]byte{kept}
 		out.signatures = []string{res.Reply.Header.Get(c.config.Headers.Signature)}
 	}
 	return out
--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -150,7 +150,9 @@
 		r.decline(w, id, "suspected of crashing backend servers")
 		return
 	}
-	q := r.newRequest(in, id, start, route, table, body)
+	held := r.memory.Open()
+	defer held.Close()
+	q := r.newRequest(in, id, start, route, table, body, held)
 	q.fingerprint = d.Fingerprint
 	ctx, cancel := r.requestContext(in, q)
 	defer cancel()
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntcall"
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
 )
@@ -126,7 +127,9 @@
 	if !ok {
 		return
 	}
-	q := r.newRequest(in, id, start, route, view.Table, body)
+	held := r.memory.Open()
+	defer held.Close()
+	q := r.newRequest(in, id, start, route, view.Table, body, held)
 	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
 	identity := shuntcall.Identify(caller, q.upstream)
 	q.fingerprint = identity.Content
@@ -210,7 +213,7 @@
 }
 
 // newRequest returns the request to be served for in.
-func (r *Router) newRequest(in *http.Request, id string, start time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte) request {
+func (r *Router) newRequest(in *http.Request, id string, start time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte, held *shuntmemory.Holder) request {
 	q := request{id: id, start: start, route: route, table: t}
 	q.deadline = r.deadline(in, route, start)
 	deadline := q.deadline
@@ -218,7 +221,7 @@
 		deadline = *end
 	}
 	q.upstream = shuntupstream.Request{
-		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: deadline,
+		Method: in.Method, Target: in.RequestURI, Host: in.Host, Header: r.endToEnd(in.Header), Body: body, ID: id, Deadline: deadline, Held: held,
 	}
 	return q
 }
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -103,7 +103,9 @@
 	if !ok {
 		return
 	}
-	q := r.newRequest(in, id, start, route, table, body)
+	held := r.memory.Open()
+	defer held.Close()
+	q := r.newRequest(in, id, start, route, table, body, held)
 	q.start = start.Add(-relayed.Elapsed)
 	q.fingerprint = relayed.Fingerprint
 	if r.endsBefore(q) {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -18,6 +18,7 @@
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntguard"
 	"mulberryshunt.example/mulberryshunt/shuntmember"
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntrandom"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 	"mulberryshunt.example/mulberryshunt/shuntupstream"
@@ -31,9 +32,11 @@
 // ended, to leave time for their answers.
 const finalAnswerTime = 100 * time.Millisecond
 
-// replyMemoryFraction is the fraction of the memory limit that replies of backend
-// servers may take while they are read, and those of other VMs likewise.
-const replyMemoryFraction = 1.0 / 8
+const (
+	// heldMemoryFraction is the fraction of the memory limit that requests, replies and
+	// answers may take.
+	heldMemoryFraction = 1.0 / 5
+)
 
 // Settings holds the settings of a Router.
 type Settings struct {
@@ -108,6 +111,8 @@
 	metrics          *routerMetrics
 	splitCounters    splitCounters
 	conns            *callerConns
+	// memory accounts for all that is held for callers, backend servers and other VMs.
+	memory *shuntmemory.Account
 	// peerServer serves requests from other VMs; nil if it could not be started.
 	peerServer atomic.Pointer[http.Server]
 	leaving    atomic.Bool
@@ -121,19 +126,20 @@
 // New returns a Router that has not been started.
 func New(c Config) *Router {
 	s := c.Settings
-	replyMemory := int64(replyMemoryFraction * float64(s.MemoryBytes))
+	memory := shuntmemory.New(shuntmemory.Config{Limit: int64(heldMemoryFraction * float64(s.MemoryBytes))})
 	links := shuntbalance.NewLinks()
 	r := &Router{
 		config: c,
 		random: shuntrandom.New(0),
-		pool: shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Dial: c.Dial, Group: c.Group, MaxReplyMemory: replyMemory,
+		pool: shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Dial: c.Dial, Group: c.Group, Memory: memory,
 			OnDial: func(s shuntupstream.Server, begun time.Time, err error) { links.Dialed(s.ID, begun, err == nil) }}),
 		balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
-		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, MaxReplyMemory: replyMemory}),
+		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, Memory: memory}),
 		delegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
 		coldLimiter:      shuntbalance.NewColdLimiter(),
 		throttle:         shuntbalance.NewThrottle(),
 		metrics:          newRouterMetrics(c.Metrics),
+		memory:           memory,
 		conns:            newCallerConns(),
 	}
 	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Turn: func(server string) float64 { return r.node.Snapshot().Turn(server) }, OnNews: func() { r.node.LeavingChanged() }})
--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntsocket"
 )
 
@@ -25,11 +27,6 @@
 	// chunk extensions and trailers around it.
 	maxReplyBytes   = 16 << 20
 	maxFramingBytes = 1 << 20
-	// firstBodyBytes is how much memory a body takes at first, unless its length is
-	// known to be smaller.
-	firstBodyBytes = 8 << 10
-	// bodyBlockBytes is how much more a longer one takes at a time.
-	bodyBlockBytes = 64 << 10
 	// largeBodyBytes is the size above which a request body is written
 	// concurrently with reading the reply, because a server may reply before it
 	// has read the whole body.
@@ -42,10 +39,9 @@
 // conn is a connection to a backend server. It carries one exchange at a time.
 type conn struct {
 	// id is unique in the pool.
-	id     uint64
-	net    net.Conn
-	group  *shuntgroup.Group
-	memory *replyMemory
+	id    uint64
+	net   net.Conn
+	group *shuntgroup.Group
 	// bound limits what reader reads from net for one reply.
 	bound     *boundedReader
 	reader    *bufio.Reader
@@ -56,9 +52,9 @@
 	unusable bool
 }
 
-func newConn(c net.Conn, group *shuntgroup.Group, memory *replyMemory, idleTimeout time.Duration) *conn {
+func newConn(c net.Conn, group *shuntgroup.Group, idleTimeout time.Duration) *conn {
 	b := &boundedReader{reader: c}
-	return &conn{net: c, group: group, memory: memory, bound: b, reader: bufio.NewReaderSize(b, readBufferBytes), idleTimeout: idleTimeout}
+	return &conn{net: c, group: group, bound: b, reader: bufio.NewReaderSize(b, readBufferBytes), idleTimeout: idleTimeout}
 }
 
 // alive checks the socket without blocking. An idle connection that has data to
@@ -113,8 +109,8 @@
 		}
 		written <- nil
 	} else {
-		body := append(header, r.Body...)
-		c.group.Go(func() { written <- c.write(body) })
+		// Not joined: a query has many exchanges, each of which would hold a copy.
+		c.group.Go(func() { written <- c.write(header, r.Body) })
 	}
 	reply, err := c.readMatchingReply(h, r)
 	if err != nil {
@@ -130,9 +126,13 @@
 	return reply, nil
 }
 
-func (c *conn) write(b []byte) error {
-	_, err := c.net.Write(b)
-	return err
+func (c *conn) write(parts ...[]byte) error {
+	for _, b := range parts {
+		if _, err := c.net.Write(b); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // encodeHeader returns the request line and the header fields of r.
@@ -159,47 +159,58 @@
 // requests.
 func (c *conn) readMatchingReply(h Headers, r Request) (Reply, error) {
 	for range maxMismatchedReplies + 1 {
-		reply, err := c.readReply(r.Method)
+		reply, err := c.readReply(r)
 		if err != nil {
 			return Reply{}, err
 		}
 		if reply.Header.Get(h.RequestID) == r.ID {
 			return reply, nil
 		}
+		r.Held.Add(-reply.Held)
 		c.unusable = true
 	}
 	return Reply{}, errors.New("the replies received are for other requests")
 }
 
 // readReply reads the next reply and skips informational (1xx) ones.
-func (c *conn) readReply(method string) (Reply, error) {
-	c.bound.allow("head", maxHeadBytes)
+func (c *conn) readReply(r Request) (Reply, error) {
+	c.bound.allowHead(r.Held)
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
+			r.Held.Add(-c.bound.allowBody())
 			return Reply{}, errors.Trace(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		return c.readBody(resp)
+		return c.readBody(resp, r.Held)
 	}
 }
 
 // readBody reads the rest of a reply and decides whether the connection can be
 // used again.
-func (c *conn) readBody(resp *http.Response) (Reply, error) {
+func (c *conn) readBody(resp *http.Response, held *shuntmemory.Holder) (Reply, error) {
 	defer func() { _ = resp.Body.Close() }()
-	c.bound.allow("body", maxReplyBytes+maxFramingBytes)
-	body, err := c.memory.read(resp.Body, resp.ContentLength)
+	head := c.bound.allowBody()
+	body, err := shuntmemory.Read(resp.Body, shuntmemory.ReadConfig{Holder: held, Length: resp.ContentLength, MaxLength: maxReplyBytes})
 	if err != nil {
+		held.Add(-head)
+	}
+	switch {
+	case errors.Is(err, shuntmemory.ErrShort):
+		klog.InfoS("Replies in flight take too much memory; dropping one", "length", resp.ContentLength, "reason", err.Error())
+		return Reply{}, errors.Annotate(ErrTooLong, err.Error())
+	case errors.Is(err, shuntmemory.ErrTooLong):
+		return Reply{}, errors.Annotate(ErrTooLong, err.Error())
+	case err != nil:
 		return Reply{}, errors.Trace(err)
 	}
 	if resp.Close || c.reader.Buffered() > 0 {
 		c.unusable = true
 	}
 	c.idleTimeout = serverIdleTimeout(resp.Header, c.idleTimeout)
-	return Reply{Code: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return Reply{Code: resp.StatusCode, Header: resp.Header, Body: body, Held: head + int64(len(body))}, nil
 }
 
 // serverIdleTimeout returns the idle timeout, in whole seconds, that the server
--- a/shuntupstream/exchange.go
+++ b/shuntupstream/exchange.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 )
 
 // Headers holds the names of the headers that this package sets or reads.
@@ -45,6 +47,9 @@
 	// of these exchanges. It is not sent on them again: a second copy of the earlier reply
 	// may arrive there late, and has the same ID.
 	SentOn []uint64
+	// Held holds the memory of the reply. The caller gives it back when the reply is no
+	// longer needed.
+	Held *shuntmemory.Holder
 }
 
 // Status describes how an exchange ended.
@@ -84,6 +89,8 @@
 	Code   int
 	Header http.Header
 	Body   []byte
+	// Held is the number of bytes that the request's holder holds for the reply.
+	Held int64
 }
 
 // RateLimit returns the limit in requests per second that the reply states. named is
--- a/shuntupstream/exchange_test.go
+++ b/shuntupstream/exchange_test.go
@@ -237,7 +237,7 @@
 		t.Run(name, func(t *testing.T) {
 			a, b := net.Pipe()
 			defer func() { _, _ = a.Close(), b.Close() }()
-			conn := newConn(a, nil, &replyMemory{}, defaultIdleTimeout)
+			conn := newConn(a, nil, defaultIdleTimeout)
 			now := time.Now()
 			conn.idleSince = now.Add(-c.idle)
 			if got := conn.usable(now, c.idempotent); got != c.want {
--- a/shuntupstream/limit_test.go
+++ b/shuntupstream/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -11,9 +10,8 @@
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
-
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 )
 
 // endless writes the head and then the piece again and again until the peer closes the
@@ -61,7 +59,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			bad, good := serve(t, endless(c.head, c.piece)), serve(t, wellBehaved)
-			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}, MaxReplyMemory: memoryLimit})
+			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}, Memory: shuntmemory.New(shuntmemory.Config{Limit: memoryLimit})})
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			runtime.GC()
@@ -118,50 +116,3 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
-
-// TestReplyMemory checks that long replies that come together are limited in sum, and
-// that the memory is free again afterwards.
-func TestReplyMemory(t *testing.T) {
-	const limit, length = 1 << 20, 300 << 10
-	m := &replyMemory{limit: limit}
-	var bodies sync.WaitGroup
-	var mu sync.Mutex
-	served, dropped := 0, 0
-	release := make(chan struct{})
-	for range 10 {
-		bodies.Go(func() {
-			_, err := m.read(&pausingReader{left: length, release: release}, length)
-			mu.Lock()
-			defer mu.Unlock()
-			if errors.Is(err, ErrTooLong) {
-				dropped++
-			} else if err == nil {
-				served++
-			}
-		})
-	}
-	time.Sleep(100 * time.Millisecond)
-	close(release)
-	bodies.Wait()
-	if served == 0 || dropped == 0 || served+dropped != 10 || m.used.Load() != 0 {
-		t.Errorf("%d served, %d dropped, %d bytes still counted", served, dropped, m.used.Load())
-	}
-}
-
-// pausingReader returns left bytes, the last of them once release is closed.
-type pausingReader struct {
-	left    int
-	release chan struct{}
-}
-
-func (r *pausingReader) Read(p []byte) (int, error) {
-	if r.left == 0 {
-		return 0, io.EOF
-	}
-	n := min(len(p), r.left)
-	if n == r.left {
-		<-r.release
-	}
-	r.left -= n
-	return n, nil
-}
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 )
 
 const (
@@ -44,15 +45,14 @@
 	OnDial func(s Server, begun time.Time, err error)
 	// Group runs the goroutines that write large request bodies.
 	Group *shuntgroup.Group
-	// MaxReplyMemory limits the memory of the replies that are being read at the same
-	// time, in bytes; 0 means no limit.
-	MaxReplyMemory int64
+	// Memory accounts for the replies to requests that have no holder of their own, while
+	// they are read. If nil, these are not limited.
+	Memory *shuntmemory.Account
 }
 
 // Pool keeps connections to backend servers and limits their number.
 type Pool struct {
 	config PoolConfig
-	memory *replyMemory
 
 	mu sync.Mutex
 	// servers is indexed by Server.key.
@@ -83,7 +83,7 @@
 		d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 2}}
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	return &Pool{config: c, memory: &replyMemory{limit: c.MaxReplyMemory}, servers: map[string]*serverConns{}}
+	return &Pool{config: c, servers: map[string]*serverConns{}}
 }
 
 // Server identifies a backend server and limits the connections to it.
@@ -109,6 +109,10 @@
 	if err != nil {
 		return Outcome{Status: status, Err: err}
 	}
+	if r.Held == nil && p.config.Memory != nil {
+		r.Held = p.config.Memory.Open()
+		defer r.Held.Close()
+	}
 	out := c.exchange(ctx, p.config.Headers, s.ID, r)
 	out.Conn = c.id
 	p.release(s, c)
@@ -266,7 +270,7 @@
 		p.connClosed(sc)
 		return nil, NotSent, errors.Trace(err)
 	}
-	opened := newConn(c, p.config.Group, p.memory, defaultIdleTimeout)
+	opened := newConn(c, p.config.Group, defaultIdleTimeout)
 	opened.id = id
 	return opened, Answered, nil
 }
