shuntrouter: requests that arrive and answers that are sent count against the memory

Callers saw: a daemon killed for its memory by clients that stop short of the end of a body or head, send many whole bodies, or don't read their answers. A head may have 1 MiB whatever limit is published, and a field of 5 bytes takes 250. Change: each connection's request has a holder in the account. Heads count by their length and fields, bodies by blocks as they arrive, answers until they are sent. A VM that is short evicts the holder with the greatest product of bytes and time without progress: a request whose body is arriving is refused with 503 and Retry-After, other connections are closed. What moves, or is being served, is not evicted; then the newcomer is refused. Part of the account is kept for small requests. An answer of which the caller takes nothing for the idle timeout is given up.

--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
@@ -24,6 +25,15 @@
 	// maxHeaderBytes bounds the bytes read of a header, whatever the published
 	// limit is.
 	maxHeaderBytes = 1 << 20
+	// headCopies is the number of copies of a header that a request takes: as it came, and
+	// as it is passed on.
+	headCopies = 2
+	// sendBytes is how much of an answer is written at a time. Each piece that the caller
+	// has taken is progress.
+	sendBytes = 32 << 10
+	// lingerTime is how long a connection is read after a request on it was refused while
+	// its body was arriving. Closing it earlier may lose the answer on the way.
+	lingerTime = 500 * time.Millisecond
 )
 
 // connState is the state of a caller's connection.
@@ -34,51 +44,143 @@
 	connIdle connState = iota
 	// connReading: the header of a request has arrived in part.
 	connReading
+	// connReceiving: the body of a request has arrived in part.
+	connReceiving
 	// connServing: a request is being served.
 	connServing
+	// connSending: an answer is being sent.
+	connSending
 	// connClosed: this VM has closed the connection.
 	connClosed
 )
 
+// callerConnsConfig configures callerConns.
+type callerConnsConfig struct {
+	// Memory accounts for the requests on the connections.
+	Memory *shuntmemory.Account
+}
+
 // callerConns tracks the state of every connection from a caller, so that
 // connections can be closed that are held open without being used. The timeouts
 // of http.Server are not used, because the limits may change while a connection
 // is open.
 type callerConns struct {
+	config callerConnsConfig
+
 	mu    sync.Mutex
 	conns map[*callerConn]bool
 }
 
-func newCallerConns() *callerConns { return &callerConns{conns: map[*callerConn]bool{}} }
+func newCallerConns(c callerConnsConfig) *callerConns {
+	if c.Memory == nil {
+		c.Memory = shuntmemory.New(shuntmemory.Config{})
+	}
+	return &callerConns{config: c, conns: map[*callerConn]bool{}}
+}
 
-// callerConn is a connection from a caller. conns.mu guards state and
-// stateSince.
+// callerConn is a connection from a caller. conns.mu guards the fields below conns.
 type callerConn struct {
 	net.Conn
-	conns      *callerConns
-	state      connState
+	conns *callerConns
+	state connState
+	// stateSince is when the state began or the connection last made progress in it.
 	stateSince time.Time
+	// held holds the memory of the current request, or is nil.
+	held *shuntmemory.Holder
 }
 
-// Read records when a request begins to arrive.
+// Read records when a request begins to arrive, and what it takes of the memory.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.conns.mu.Lock()
-		if c.state == connIdle {
-			c.setState(connReading)
+	if n == 0 {
+		return n, err
+	}
+	if state, held := c.conns.received(c); state == connReading {
+		if short := held.Reserve(headCopies * shuntmemory.HeadBytes(b[:n])); short != nil {
+			klog.V(1).InfoS("Connection from a caller closed while a header arrives", "caller", c.RemoteAddr(), "reason", short.Error())
+			_ = c.Close()
+			return 0, short
 		}
-		c.conns.mu.Unlock()
 	}
 	return n, err
 }
 
-// setState sets the state of c unless this VM has closed it. The caller must hold
-// c.conns.mu.
-func (c *callerConn) setState(state connState) {
-	if c.state != connClosed {
-		c.state, c.stateSince = state, time.Now()
+// Write sends a part of an answer.
+func (c *callerConn) Write(b []byte) (int, error) {
+	c.conns.sending(c)
+	total := 0
+	for {
+		n, err := c.Conn.Write(b[total:min(total+sendBytes, len(b))])
+		total += n
+		if err != nil || total == len(b) {
+			return total, err
+		}
+		c.conns.sending(c)
+	}
+}
+
+// received records that bytes have arrived, and returns the state and the holder of the
+// request that they belong to.
+func (s *callerConns) received(c *callerConn) (connState, *shuntmemory.Holder) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.state == connIdle {
+		s.setState(c, connReading)
+	}
+	return c.state, c.held
+}
+
+// sending records that a part of an answer is sent now.
+func (s *callerConns) sending(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.state == connServing || c.state == connSending {
+		s.setState(c, connSending)
+	}
+}
+
+// setState sets the state of c unless this VM has closed it, and records progress. The
+// caller must hold s.mu.
+func (s *callerConns) setState(c *callerConn, state connState) {
+	if c.state == connClosed {
+		return
+	}
+	c.state, c.stateSince = state, time.Now()
+	switch state {
+	case connServing:
+		c.held.SetEvict(nil)
+	case connIdle, connClosed:
+		c.held.Close()
+		c.held = nil
+	case connReading, connReceiving, connSending:
+		if c.held == nil {
+			c.held = s.config.Memory.Open()
+		}
+		c.held.SetEvict(func() { s.evict(c) })
+	}
+}
+
+// evict ends the request on c to free its memory. A request whose body is arriving can still
+// be refused; otherwise the connection is closed.
+func (s *callerConns) evict(c *callerConn) {
+	s.mu.Lock()
+	receiving := c.state == connReceiving
+	s.mu.Unlock()
+	if receiving {
+		_ = c.SetReadDeadline(time.Now())
+		return
 	}
+	s.close(c, "out of memory")
+}
+
+// close closes the connection.
+func (s *callerConns) close(c *callerConn, why string) {
+	klog.V(1).InfoS("Connection from a caller closed", "caller", c.RemoteAddr(), "why", why)
+	s.mu.Lock()
+	s.setState(c, connClosed)
+	delete(s.conns, c)
+	s.mu.Unlock()
+	_ = c.Close()
 }
 
 // callerListener accepts connections from callers and tracks them in conns.
@@ -93,10 +195,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: inner, conns: l.conns, stateSince: time.Now()}
+	c := &callerConn{Conn: inner, conns: l.conns}
 	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
 	l.conns.conns[c] = true
-	l.conns.mu.Unlock()
+	l.conns.setState(c, connIdle)
 	return c, nil
 }
 
@@ -116,27 +219,62 @@
 	if !ok {
 		return
 	}
+	switch state {
+	case http.StateIdle, http.StateClosed, http.StateHijacked:
+	default:
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch state {
-	case http.StateIdle:
-		c.setState(connIdle)
-	case http.StateClosed, http.StateHijacked:
-		delete(s.conns, c)
+	if state == http.StateIdle {
+		s.setState(c, connIdle)
+		return
+	}
+	s.setState(c, connClosed)
+	delete(s.conns, c)
+}
+
+// beginRequest records that the header of a request has been read, and returns what holds
+// the request's memory; the caller must call done at the end. It returns false if the
+// connection was closed at the same time: the request must not run.
+func (s *callerConns) beginRequest(in *http.Request) (held *shuntmemory.Holder, done func(), ok bool) {
+	head := headCopies * headMemory(in)
+	c, tracked := in.Context().Value(connKey{}).(*callerConn)
+	if !tracked {
+		held = s.config.Memory.Open()
+		held.Set(head)
+		return held, held.Close, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.held == nil {
+		// The header came together with the request before.
+		c.held = s.config.Memory.Open()
+	}
+	c.held.Set(head)
+	state := connServing
+	if in.ContentLength != 0 {
+		state = connReceiving
+	}
+	s.setState(c, state)
+	if c.state == connClosed || c.held.Ended() {
+		return nil, nil, false
 	}
+	// The holder stays open until the answer has been sent.
+	return c.held, func() {}, true
 }
 
-// beginRequest records that the header of a request has been read. It returns
-// false if the connection was closed at the same time: the request must not run.
-func (s *callerConns) beginRequest(ctx context.Context) bool {
+// beginServing records that a request has been received, and reports whether it may run. It
+// may not if its memory was freed at the same time.
+func (s *callerConns) beginServing(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*callerConn)
 	if !ok {
 		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.setState(connServing)
-	return c.state != connClosed
+	s.setState(c, connServing)
+	return c.state != connClosed && !c.held.Ended()
 }
 
 // enforce closes the connections that have exceeded a timeout.
@@ -148,14 +286,14 @@
 		switch c.state {
 		case connReading:
 			limit = orDefault(l.HeaderTimeout, defaultHeaderTimeout)
-		case connServing, connClosed:
+		case connReceiving, connServing, connClosed:
 			continue
 		}
 		if now.Sub(c.stateSince) <= limit {
 			continue
 		}
 		klog.V(1).InfoS("Connection from a caller closed on timeout", "caller", c.RemoteAddr(), "reading", c.state == connReading, "limit", limit)
-		c.state = connClosed
+		s.setState(c, connClosed)
 		_ = c.Close()
 	}
 }
@@ -180,6 +318,15 @@
 	return n
 }
 
+// headMemory returns the memory that the request's header takes.
+func headMemory(r *http.Request) int64 {
+	total := int64(len(r.RequestURI) + headerBytes(r))
+	for _, values := range r.Header {
+		total += int64(shuntmemory.FieldBytes * len(values))
+	}
+	return total
+}
+
 // Server returns an HTTP server for callers. It enforces the published limits on
 // connections accepted from a listener that Listener returned.
 func (r *Router) Server() *http.Server {
--- a/shuntrouter/conns_test.go
+++ b/shuntrouter/conns_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -60,7 +61,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				conns := newCallerConns()
+				conns := newCallerConns(callerConnsConfig{})
 				responses, took := callSlowly(t, conns, c.limits, serviceTime, c.delays, c.chunks)
 				if responses != c.responses || took < c.minElapsed || took > c.maxElapsed {
 					t.Errorf("%d responses, closed after %v; want %d, %v to %v", responses, took, c.responses, c.minElapsed, c.maxElapsed)
@@ -80,7 +81,7 @@
 	t.Helper()
 	var g shuntgroup.Group
 	server := &http.Server{ConnState: s.stateChanged, ConnContext: s.connContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if !s.beginRequest(r.Context()) {
+		if _, _, ok := s.beginRequest(r); !ok {
 			panic(http.ErrAbortHandler)
 		}
 		time.Sleep(serviceTime)
@@ -135,7 +136,7 @@
 // TestRequestOnClosedConnection checks that a request is not served if it arrives
 // while its connection is being closed on a timeout.
 func TestRequestOnClosedConnection(t *testing.T) {
-	s := newCallerConns()
+	s := newCallerConns(callerConnsConfig{})
 	ours, theirs := net.Pipe()
 	defer func() { _ = ours.Close() }()
 	l := make(singleConnListener, 1)
@@ -146,7 +147,7 @@
 	}
 	ctx := s.connContext(t.Context(), c)
 	s.enforce(shuntroute.Limits{}, time.Now().Add(time.Hour))
-	if s.beginRequest(ctx) {
+	if _, _, ok := s.beginRequest((&http.Request{}).WithContext(ctx)); ok {
 		t.Error("a request on a closed connection was served")
 	}
 }
@@ -173,3 +174,74 @@
 		}
 	}
 }
+
+// TestBodyWithoutMemory checks that a request whose body there is no memory for is refused as
+// not run, and that what has stalled makes room.
+func TestBodyWithoutMemory(t *testing.T) {
+	const length = 200 << 10
+	tr := newTestRouter(t, true)
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := tr.router.Server()
+	var group shuntgroup.Group
+	group.Go(func() { _ = server.Serve(tr.router.Listener(inner)) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		group.Close()
+	})
+	tr.URL = "http://" + inner.Addr().String()
+	body := strings.Repeat("x", length)
+	send := func(want int) {
+		t.Helper()
+		tr.lastRequest.Store(nil)
+		resp, _ := tr.do(t, http.MethodPost, "/one/x", body)
+		refused := want == http.StatusServiceUnavailable
+		if resp.StatusCode != want || refused != (resp.Header.Get("Retry-After") != "") || refused != (tr.lastRequest.Load() == nil) {
+			t.Errorf("%d, %v; want %d", resp.StatusCode, resp.Header, want)
+		}
+	}
+	stalled, err := net.Dial("tcp4", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stalled.Close() }()
+	fmt.Fprintf(stalled, "POST /one/x HTTP/1.1\r\nHost: h\r\nId: 2\r\nLeft: 60000\r\nContent-Length: %d\r\n\r\n%s", length, body[1:])
+	time.Sleep(time.Second)
+
+	// All that bodies may take; the reserve is for small requests.
+	hog := tr.router.memory.Open()
+	hog.Add(testMemoryBytes * heldMemoryFraction * 5 / 8)
+	send(http.StatusServiceUnavailable)
+	resp, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("what has stalled got %+v, %v; want a refusal", resp, err)
+	}
+	hog.Close()
+	send(http.StatusOK)
+	tr.router.conns.stateWait(t)
+	if used := tr.router.memory.Counts().Used; used != 0 {
+		t.Errorf("%d bytes still held", used)
+	}
+}
+
+// stateWait waits until all requests have ended.
+func (s *callerConns) stateWait(t *testing.T) {
+	t.Helper()
+	for range 200 {
+		s.mu.Lock()
+		held := 0
+		for c := range s.conns {
+			if c.held != nil {
+				held++
+			}
+		}
+		s.mu.Unlock()
+		if held == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("requests don't end")
+}
--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +13,7 @@
 
 	"mulberryshunt.example/mulberryshunt/shuntcall"
 	"mulberryshunt.example/mulberryshunt/shuntmember"
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
@@ -139,7 +139,10 @@
 		r.decline(w, id, "no such shards")
 		return
 	}
-	body, err := io.ReadAll(in.Body)
+	held := r.memory.Open()
+	defer held.Close()
+	limit := int64(orDefault(table.Limits().BodyBytes, defaultBodyBytes))
+	body, err := shuntmemory.Read(in.Body, shuntmemory.ReadConfig{Holder: held, Length: in.ContentLength, MaxLength: limit})
 	if err != nil {
 		r.decline(w, id, err.Error())
 		return
@@ -150,8 +153,6 @@
 		r.decline(w, id, "suspected of crashing backend servers")
 		return
 	}
-	held := r.memory.Open()
-	defer held.Close()
 	q := r.newRequest(in, id, start, route, table, body, held)
 	q.fingerprint = d.Fingerprint
 	ctx, cancel := r.requestContext(in, q)
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"mulberryshunt.example/mulberryshunt/shuntcall"
@@ -38,6 +39,9 @@
 	// asked to wait. The jitter keeps them from retrying all at once.
 	minRetryAfter    = 50 * time.Millisecond
 	retryAfterJitter = 150 * time.Millisecond
+	// shortRetryAfter is how long callers are asked to wait while this VM is short of
+	// memory: by then, what has stalled has been evicted.
+	shortRetryAfter = 500 * time.Millisecond
 )
 
 // Headers holds the names of the headers that callers and servers use.
@@ -101,10 +105,12 @@
 
 // ServeHTTP serves a caller's request.
 func (r *Router) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	start := time.Now()
-	if !r.conns.beginRequest(in.Context()) {
+	arrived := time.Now()
+	held, done, ok := r.conns.beginRequest(in)
+	if !ok {
 		panic(http.ErrAbortHandler)
 	}
+	defer done()
 	if r.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -123,13 +129,11 @@
 		r.replyError(w, id, http.StatusNotFound, "no route", view.Table.Version())
 		return
 	}
-	body, ok := r.readBody(w, in, id, view.Table)
+	body, ok := r.readBody(w, in, id, view.Table, held)
 	if !ok {
 		return
 	}
-	held := r.memory.Open()
-	defer held.Close()
-	q := r.newRequest(in, id, start, route, view.Table, body, held)
+	q := r.newRequest(in, id, arrived, route, view.Table, body, held)
 	caller, _, _ := strings.Cut(in.RemoteAddr, ":")
 	identity := shuntcall.Identify(caller, q.upstream)
 	q.fingerprint = identity.Content
@@ -213,9 +217,9 @@
 }
 
 // newRequest returns the request to be served for in.
-func (r *Router) newRequest(in *http.Request, id string, start time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte, held *shuntmemory.Holder) request {
-	q := request{id: id, start: start, route: route, table: t}
-	q.deadline = r.deadline(in, route, start)
+func (r *Router) newRequest(in *http.Request, id string, arrived time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte, held *shuntmemory.Holder) request {
+	q := request{id: id, start: arrived, route: route, table: t}
+	q.deadline = r.deadline(in, route, arrived)
 	deadline := q.deadline
 	if end := r.endsAt.Load(); end != nil && end.Before(deadline) {
 		deadline = *end
@@ -226,23 +230,36 @@
 	return q
 }
 
-// readBody reads the body of a request. If the body exceeds the limit, it replies
-// to the caller and returns false.
-func (r *Router) readBody(w http.ResponseWriter, in *http.Request, id string, t *shuntroute.Table) ([]byte, bool) {
-	limit := int64(orDefault(t.Limits().BodyBytes, defaultBodyBytes))
+// readBody reads the body of a request. If the body exceeds the limit, or this VM is short
+// of memory, it replies to the caller and returns false.
+func (r *Router) readBody(w http.ResponseWriter, in *http.Request, id string, t *shuntroute.Table, held *shuntmemory.Holder) ([]byte, bool) {
 	if in.ContentLength == 0 {
 		return nil, true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, limit))
-	if err == nil {
+	limit := int64(orDefault(t.Limits().BodyBytes, defaultBodyBytes))
+	body, err := shuntmemory.Read(http.MaxBytesReader(w, in.Body, limit), shuntmemory.ReadConfig{Holder: held, Length: in.ContentLength, MaxLength: limit})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil && r.conns.beginServing(in.Context()):
 		return body, true
-	}
-	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+	case errors.As(err, &tooLarge), errors.Is(err, shuntmemory.ErrTooLong):
 		r.replyError(w, id, http.StatusRequestEntityTooLarge, "the body is too long", t.Version())
-		return nil, false
+	case errors.Is(err, shuntmemory.ErrShort), held.Ended():
+		r.refuseBody(w, id)
+	default:
+		klog.InfoS("Failed to read a request", "request", id, "reason", fmt.Sprint(err))
+		panic(http.ErrAbortHandler)
 	}
-	klog.InfoS("Failed to read a request", "request", id, "reason", err.Error())
-	panic(http.ErrAbortHandler)
+	return nil, false
+}
+
+// refuseBody refuses a request whose body this VM has no memory for. What is still to come
+// of the body is not waited for.
+func (r *Router) refuseBody(w http.ResponseWriter, id string) {
+	// The error is ignored: connections that have no deadlines are not those of callers.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
+	w.Header().Set("Connection", "close")
+	r.replyUnavailable(w, id, "short of memory", shortRetryAfter)
 }
 
 // deadline returns the time by which the request must be answered: the caller's
--- a/shuntrouter/handler_test.go
+++ b/shuntrouter/handler_test.go
@@ -28,6 +28,11 @@
 	ShardSignatures: "Parts", MissingShards: "Missing",
 }
 
+const (
+	testBodyBytes   = 300 << 10
+	testMemoryBytes = 64 << 20
+)
+
 // testSource always returns the same state. Without a state it stands for a
 // platform that is down.
 type testSource struct {
@@ -99,7 +104,7 @@
 	}))
 	t.Cleanup(backend.Close)
 	table := shuntroute.NewTable(shuntroute.TableConfig{
-		Version: 1, Limits: shuntroute.Limits{BodyBytes: 100, HeaderBytes: 1000},
+		Version: 1, Limits: shuntroute.Limits{BodyBytes: testBodyBytes, HeaderBytes: 1000},
 		Services: []shuntroute.Service{{Name: "a", MaxConns: 10}, {Name: "b", MaxConns: 10}},
 		Routes: []shuntroute.Route{
 			{Name: "one", Host: "h", Prefix: "/one/", LatencyGoal: time.Second, Timeout: 5 * time.Second, MaxAttempts: 2, WeightedServices: []shuntroute.WeightedService{{Service: "a", Weight: 1}}},
@@ -124,7 +129,7 @@
 	tr.router = New(Config{
 		Settings: Settings{
 			Name: "vm", Zone: "z", Region: "r", PeerAddress: netip.MustParseAddrPort(unusedAddress(t)), Capacity: 400, RegionByZone: map[string]string{"z": "r"},
-			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdFactor: 1, ColdSlack: 5, DelistedGrace: time.Second, WatchWait: time.Second,
+			MemoryBytes: testMemoryBytes, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdFactor: 1, ColdSlack: 5, DelistedGrace: time.Second, WatchWait: time.Second,
 		},
 		Headers: testHeaders, Source: tr.source, Decoder: testDecoder{table}, Seeds: func() []netip.AddrPort { return nil }, Group: &group, Metrics: metrics.NewSet(),
 	})
@@ -196,7 +201,7 @@
 		"all shards":           {http.MethodGet, "/all/x", "", 200, fmt.Sprintf("%-16s", "i-b")},
 		"no route":             {http.MethodGet, "/other/", "", 404, ""},
 		"no server":            {http.MethodGet, "/none/x", "", 503, ""},
-		"a body too long":      {http.MethodPost, "/one/x", strings.Repeat("x", 101), 413, ""},
+		"a body too long":      {http.MethodPost, "/one/x", strings.Repeat("x", testBodyBytes+1), 413, ""},
 	}
 	tr := newTestRouter(t, true)
 	for name, c := range cases {
--- a/shuntrouter/relay.go
+++ b/shuntrouter/relay.go
@@ -99,12 +99,12 @@
 	if !ok {
 		return
 	}
-	body, ok := r.readBody(w, in, id, table)
+	held := r.memory.Open()
+	defer held.Close()
+	body, ok := r.readBody(relayedWriter{w, r.config.Headers.Upstream.NotRun}, in, id, table, held)
 	if !ok {
 		return
 	}
-	held := r.memory.Open()
-	defer held.Close()
 	q := r.newRequest(in, id, start, route, table, body, held)
 	q.start = start.Add(-relayed.Elapsed)
 	q.fingerprint = relayed.Fingerprint
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -140,7 +140,7 @@
 		throttle:         shuntbalance.NewThrottle(),
 		metrics:          newRouterMetrics(c.Metrics),
 		memory:           memory,
-		conns:            newCallerConns(),
+		conns:            newCallerConns(callerConnsConfig{Memory: memory}),
 	}
 	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Turn: func(server string) float64 { return r.node.Snapshot().Turn(server) }, OnNews: func() { r.node.LeavingChanged() }})
 	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
