shuntcall: a query reserves the memory for asking its shards

Callers saw: a daemon killed for its memory by many small queries at once. Cause: two goroutines and a request for each shard, 16 KiB together, have no bound but the number of queries: 800 queries to 6 shards took 164 MB, and an index may have 180. Change: a query reserves 16 KiB for each shard that it asks itself, also for another VM, before anything is sent; without room it is refused as not run.

--- a/shuntcall/scatter.go
+++ b/shuntcall/scatter.go
@@ -19,6 +19,9 @@
 	// hedgeFraction is the fraction of the latency goal after which a second server of
 	// a shard is tried at the latest.
 	hedgeFraction = 1.0 / 3
+	// shardBytes is the memory that querying a shard takes beside its reply: two goroutines
+	// and the request.
+	shardBytes = 16 << 10
 )
 
 // Query is a request to all shards of a route.
@@ -107,10 +110,14 @@
 	if a, ok := c.refuseUnservable(q, g.subset); ok {
 		return a
 	}
+	delegations := c.divide(q)
+	if a, ok := reserveShards(q, g.subset, delegations); !ok {
+		return a
+	}
 	if q.Suspect && !c.tryFirstShard(ctx, q, g) {
 		return g.answer(g.failure())
 	}
-	a := c.gather(ctx, q, g, c.divide(q))
+	a := c.gather(ctx, q, g, delegations)
 	c.config.Throttle.RecordCompletion(q.index(), g.loadTime(), q.Route.LatencyGoal, len(g.signatures) >= g.subset.MinShards)
 	return a
 }
@@ -135,9 +142,25 @@
 	if a, ok := c.refuseUnservable(q, s); ok {
 		return a
 	}
+	if a, ok := reserveShards(q, s, nil); !ok {
+		return a
+	}
 	return c.gather(ctx, q, newQueryState(q, s), nil)
 }
 
+// reserveShards takes the memory for querying the shards that are not delegated. If there is
+// none, it returns false and the answer to the query, of which nothing has been sent.
+func reserveShards(q Query, s Subset, delegations []delegation) (Answer, bool) {
+	shards := len(s.Shards)
+	for _, d := range delegations {
+		shards -= len(d.shards)
+	}
+	if err := q.Request.Held.ReserveWork(int64(shards) * shardBytes); err != nil {
+		return Answer{Status: Refused, Missing: len(s.Shards), Reason: err.Error()}, false
+	}
+	return Answer{}, true
+}
+
 func (c *Caller) gather(ctx context.Context, q Query, g *queryState, delegations []delegation) Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/shuntcall/scatter_test.go
+++ b/shuntcall/scatter_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
@@ -119,3 +120,37 @@
 		}
 	})
 }
+
+// TestScatterWithoutMemory checks that a query is refused, and nothing sent, if there is no
+// memory for all of its shards.
+func TestScatterWithoutMemory(t *testing.T) {
+	const shards, limit = 10, 1 << 20
+	route, services := scatterRoute(shards)
+	cases := map[string]struct {
+		left   int64
+		status CallStatus
+	}{
+		"enough":  {shards * shardBytes, Served},
+		"too few": {shards*shardBytes - 1, Refused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, services, func(t *testing.T, w *testCluster) {
+				memory := shuntmemory.New(shuntmemory.Config{Limit: limit})
+				others, held := memory.Open(), memory.Open()
+				defer others.Close()
+				others.Add(limit - c.left)
+				request := w.request(time.Now())
+				request.Held = held
+				a := w.caller.Scatter(t.Context(), Query{Route: route, Table: w.table, Request: request, Start: time.Now()})
+				if a.Status != c.status || (a.Status == Refused) != (w.total() == 0) {
+					t.Errorf("%v (%s), %d requests sent; want %v", a.Status, a.Reason, w.total(), c.status)
+				}
+				held.Close()
+				if used := memory.Counts().Used; used != limit-c.left {
+					t.Errorf("%d bytes are still held", used-(limit-c.left))
+				}
+			})
+		})
+	}
+}
