shuntrouter: callers' connections are limited

Callers saw: a daemon whose descriptors are used up by open connections reaches no backend server, store or VM any more. Change: at most half of the sockets of the process, and as many as an eighth of its memory holds at 48 KiB each, are callers' connections. One more takes the place of the one without progress for longest, those that have carried no request four times sooner; never that of one with a request being served. If all are, the new one is closed.

--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -1,6 +1,7 @@
 package shuntrouter
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -31,6 +32,9 @@
 	// sendBytes is how much of an answer is written at a time. Each piece that the caller
 	// has taken is progress.
 	sendBytes = 32 << 10
+	// unusedWeight is the weight of the age of a connection that has not carried a request
+	// yet when it is decided which one makes room for a new one.
+	unusedWeight = 4
 	// lingerTime is how long a connection is read after a request on it was refused while
 	// its body was arriving. Closing it earlier may lose the answer on the way.
 	lingerTime = 500 * time.Millisecond
@@ -56,6 +60,8 @@
 
 // callerConnsConfig configures callerConns.
 type callerConnsConfig struct {
+	// MaxConns is the greatest number of connections; 0 means no limit.
+	MaxConns int
 	// Memory accounts for the requests on the connections.
 	Memory *shuntmemory.Account
 }
@@ -69,13 +75,17 @@
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
+	// unused holds the connections that have not carried a request yet, and used those
+	// that have and are not serving one. The one without progress for longest is in front.
+	unused, used *list.List
+	closed       int64
 }
 
 func newCallerConns(c callerConnsConfig) *callerConns {
 	if c.Memory == nil {
 		c.Memory = shuntmemory.New(shuntmemory.Config{})
 	}
-	return &callerConns{config: c, conns: map[*callerConn]bool{}}
+	return &callerConns{config: c, conns: map[*callerConn]bool{}, unused: list.New(), used: list.New()}
 }
 
 // callerConn is a connection from a caller. conns.mu guards the fields below conns.
@@ -85,6 +95,10 @@
 	state connState
 	// stateSince is when the state began or the connection last made progress in it.
 	stateSince time.Time
+	// hasServed is true once the connection has carried a request.
+	hasServed bool
+	// place is the element of the list that the connection is in, or nil.
+	place *list.Element
 	// held holds the memory of the current request, or is nil.
 	held *shuntmemory.Holder
 }
@@ -146,9 +160,12 @@
 		return
 	}
 	c.state, c.stateSince = state, time.Now()
+	s.remove(c)
 	switch state {
 	case connServing:
+		c.hasServed = true
 		c.held.SetEvict(nil)
+		return
 	case connIdle, connClosed:
 		c.held.Close()
 		c.held = nil
@@ -158,6 +175,23 @@
 		}
 		c.held.SetEvict(func() { s.evict(c) })
 	}
+	switch {
+	case state == connClosed:
+	case c.hasServed:
+		c.place = s.used.PushBack(c)
+	default:
+		c.place = s.unused.PushBack(c)
+	}
+}
+
+// remove takes c out of the list that it is in. The caller must hold s.mu.
+func (s *callerConns) remove(c *callerConn) {
+	if c.place != nil {
+		// The element is in one of the lists; the other one ignores it.
+		s.unused.Remove(c.place)
+		s.used.Remove(c.place)
+		c.place = nil
+	}
 }
 
 // evict ends the request on c to free its memory. A request whose body is arriving can still
@@ -179,6 +213,7 @@
 	s.mu.Lock()
 	s.setState(c, connClosed)
 	delete(s.conns, c)
+	s.closed++
 	s.mu.Unlock()
 	_ = c.Close()
 }
@@ -189,18 +224,58 @@
 	conns *callerConns
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection beyond the limit takes the place of another
+// one, or is closed if all are serving requests.
 func (l callerListener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: inner, conns: l.conns}
+		victim := l.conns.add(c)
+		if victim != nil {
+			l.conns.close(victim, "too many connections")
+		}
+		if victim != c {
+			return c, nil
+		}
+	}
+}
+
+// add tracks c and returns the connection that must be closed for it, or nil. That is c
+// itself if all others are serving requests.
+func (s *callerConns) add(c *callerConn) *callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+	victim := c
+	if s.config.MaxConns <= 0 || len(s.conns) <= s.config.MaxConns {
+		victim = nil
+	} else if other := s.worst(time.Now()); other != nil {
+		victim = other
+	}
+	s.setState(c, connIdle)
+	return victim
+}
+
+// worst returns the connection without progress for longest, or nil if all are serving
+// requests. The caller must hold s.mu.
+func (s *callerConns) worst(now time.Time) *callerConn {
+	unused, used := s.unused.Front(), s.used.Front()
+	switch {
+	case unused == nil && used == nil:
+		return nil
+	case unused == nil:
+		return used.Value.(*callerConn)
+	case used == nil:
+		return unused.Value.(*callerConn)
+	}
+	a, b := unused.Value.(*callerConn), used.Value.(*callerConn)
+	if unusedWeight*now.Sub(a.stateSince) > now.Sub(b.stateSince) {
+		return a
 	}
-	c := &callerConn{Conn: inner, conns: l.conns}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	l.conns.conns[c] = true
-	l.conns.setState(c, connIdle)
-	return c, nil
+	return b
 }
 
 // connKey is the context key of a request's connection.
--- a/shuntrouter/conns_test.go
+++ b/shuntrouter/conns_test.go
@@ -133,6 +133,64 @@
 	}
 }
 
+// givenConn is a connection that exists when another one is accepted.
+type givenConn struct {
+	state connState
+	// hasServed is set if a request was served before, and idle is for how long there was no
+	// progress.
+	hasServed bool
+	idle      time.Duration
+}
+
+// TestTooManyConnections checks which connection makes room for a new one: never one on
+// which a request is served, and those that have not carried a request before others.
+func TestTooManyConnections(t *testing.T) {
+	cases := map[string]struct {
+		conns []givenConn
+		// closed is the index of the connection that is closed; that of the new one is the
+		// number of the others.
+		closed int
+	}{
+		"idle for longest":           {[]givenConn{{idle: 2 * time.Second}, {idle: time.Second}}, 0},
+		"not used yet":               {[]givenConn{{hasServed: true, idle: 3 * time.Second}, {idle: time.Second}}, 1},
+		"used, but idle for long":    {[]givenConn{{hasServed: true, idle: 5 * time.Second}, {idle: time.Second}}, 0},
+		"a request arrives in parts": {[]givenConn{{state: connReading, idle: time.Second}, {state: connServing, idle: time.Minute}}, 0},
+		"a body arrives in parts":    {[]givenConn{{state: connReceiving, idle: time.Second}, {state: connServing, idle: time.Minute}}, 0},
+		"nobody reads the answer":    {[]givenConn{{state: connSending, hasServed: true, idle: time.Second}, {state: connServing, idle: time.Minute}}, 0},
+		"all are served":             {[]givenConn{{state: connServing}, {state: connServing}}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newCallerConns(callerConnsConfig{MaxConns: len(c.conns)})
+			var all []*callerConn
+			for _, g := range append(c.conns, givenConn{}) {
+				all = append(all, addConn(t, s, g))
+			}
+			for i, conn := range all {
+				if isClosed := conn.state == connClosed; isClosed != (i == c.closed) || s.conns[conn] == isClosed {
+					t.Errorf("connection %d: closed %v, tracked %v", i, isClosed, s.conns[conn])
+				}
+			}
+		})
+	}
+}
+
+// addConn adds a connection as a listener would, and sets its state.
+func addConn(t *testing.T, s *callerConns, g givenConn) *callerConn {
+	t.Helper()
+	ours, theirs := net.Pipe()
+	t.Cleanup(func() { _ = ours.Close() })
+	c := &callerConn{Conn: theirs, conns: s, hasServed: g.hasServed}
+	if victim := s.add(c); victim != nil {
+		s.close(victim, "")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setState(c, g.state)
+	c.stateSince = c.stateSince.Add(-g.idle)
+	return c
+}
+
 // TestRequestOnClosedConnection checks that a request is not served if it arrives
 // while its connection is being closed on a timeout.
 func TestRequestOnClosedConnection(t *testing.T) {
--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -34,10 +34,21 @@
 
 const (
 	// heldMemoryFraction is the fraction of the memory limit that requests, replies and
-	// answers may take.
+	// answers may take, and connMemoryFraction that of callers' connections.
 	heldMemoryFraction = 1.0 / 5
+	connMemoryFraction = 1.0 / 8
+	// callerSocketFraction is the fraction of the sockets that callers' connections may
+	// take. The others are for backend servers and other VMs.
+	callerSocketFraction = 0.5
+	// connBytes is the memory that a caller's connection takes without what its request
+	// holds: buffers, a goroutine, and what has arrived and is not read yet.
+	connBytes = 16<<10 + ReceiveBytes
 )
 
+// ReceiveBytes is the size that the receive buffers of callers' connections should have. What
+// lies there counts as memory of the process.
+const ReceiveBytes = 32 << 10
+
 // Settings holds the settings of a Router.
 type Settings struct {
 	Name   string
@@ -67,13 +78,25 @@
 	DelistedGrace time.Duration
 	// WatchWait is how long a watch of the platform waits for changes.
 	WatchWait time.Duration
-	// MemoryBytes is the memory limit of the process; 0 means no limit.
+	// MemoryBytes is the memory limit of the process, and Sockets the number of sockets
+	// that it may open; 0 means no limit.
 	MemoryBytes int64
+	Sockets     int
 	// ShutdownGrace is the time from the request to shut down until the process
 	// is killed.
 	ShutdownGrace time.Duration
 }
 
+// maxCallerConns returns the greatest number of callers' connections; 0 means no limit.
+func (s Settings) maxCallerConns() int {
+	byMemory := int(connMemoryFraction * float64(s.MemoryBytes) / connBytes)
+	bySockets := int(callerSocketFraction * float64(s.Sockets))
+	if byMemory == 0 || bySockets == 0 {
+		return max(byMemory, bySockets)
+	}
+	return min(byMemory, bySockets)
+}
+
 // Config configures a Router.
 type Config struct {
 	Settings Settings
@@ -140,7 +163,7 @@
 		throttle:         shuntbalance.NewThrottle(),
 		metrics:          newRouterMetrics(c.Metrics),
 		memory:           memory,
-		conns:            newCallerConns(callerConnsConfig{Memory: memory}),
+		conns:            newCallerConns(callerConnsConfig{MaxConns: s.maxCallerConns(), Memory: memory}),
 	}
 	r.notices = shuntbalance.NewNotices(shuntbalance.NoticesConfig{DrainTime: s.DrainTime, Turn: func(server string) float64 { return r.node.Snapshot().Turn(server) }, OnNews: func() { r.node.LeavingChanged() }})
 	r.guard = shuntguard.New(shuntguard.Config{Metrics: c.Metrics, Random: r.random, OnNews: func() { r.node.SuspicionsChanged() }})
--- a/shuntsocket/reusable.go
+++ b/shuntsocket/reusable.go
@@ -1,4 +1,4 @@
-// Package shuntsocket checks the sockets of idle connections.
+// Package shuntsocket sets options of sockets and checks those of idle connections.
 package shuntsocket
 
 import (
