Directory and readiness check: their connections count among callers'

Callers saw: a daemon killed for its memory, or out of descriptors, by clients of the directory or the readiness check. Cause: these listeners took any number of connections, heads of 64 KiB with any number of fields, and waited without end for the body of a request that had been answered. Change: they share the connection limit, the account and the timeouts of the callers' listener.

--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -404,8 +404,23 @@
 
 // Server returns an HTTP server for callers. It enforces the published limits on
 // connections accepted from a listener that Listener returned.
-func (r *Router) Server() *http.Server {
-	return &http.Server{Handler: r, MaxHeaderBytes: maxHeaderBytes, ConnState: r.conns.stateChanged, ConnContext: r.conns.connContext}
+func (r *Router) Server() *http.Server { return r.conns.server(r, maxHeaderBytes) }
+
+// ServerFor returns an HTTP server for what callers ask of this VM itself. Its connections
+// count among those of callers, and have the same limits, like those of Server.
+func (r *Router) ServerFor(h http.Handler) *http.Server {
+	return r.conns.server(http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+		_, done, ok := r.conns.beginRequest(in)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		defer done()
+		h.ServeHTTP(w, in)
+	}), defaultHeaderBytes)
+}
+
+func (s *callerConns) server(h http.Handler, maxHeader int) *http.Server {
+	return &http.Server{Handler: h, MaxHeaderBytes: maxHeader, ConnState: s.stateChanged, ConnContext: s.connContext}
 }
 
 // Listener wraps l so that the published limits are enforced on its connections.
