shuntrouter: bodies are decoded in turns

Callers saw: no answer within 5 s while 100 clients sent bodies in chunks of a byte to a VM with one core. Cause: decoding such chunks takes 50 to 100 times the processor time of what they hold, and every connection that has bytes takes part in the scheduling like an ordinary request. Change: half as many connections as there are cores, one at least, decode what has arrived of a body at a time. A turn ends with the next read or write, so that no connection keeps it while it waits for its client.

--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -5,7 +5,9 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -72,6 +74,9 @@
 // is open.
 type callerConns struct {
 	config callerConnsConfig
+	// turns bounds how many request bodies are decoded at the same time. Decoding tiny
+	// chunks takes so much processor time that other requests would starve.
+	turns chan struct{}
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
@@ -85,14 +90,16 @@
 	if c.Memory == nil {
 		c.Memory = shuntmemory.New(shuntmemory.Config{})
 	}
-	return &callerConns{config: c, conns: map[*callerConn]bool{}, unused: list.New(), used: list.New()}
+	return &callerConns{config: c, conns: map[*callerConn]bool{}, unused: list.New(), used: list.New(), turns: make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/2))}
 }
 
 // callerConn is a connection from a caller. conns.mu guards the fields below conns.
 type callerConn struct {
 	net.Conn
-	conns *callerConns
-	state connState
+	// hasTurn is true while the connection has one of conns.turns.
+	hasTurn atomic.Bool
+	conns   *callerConns
+	state   connState
 	// stateSince is when the state began or the connection last made progress in it.
 	stateSince time.Time
 	// hasServed is true once the connection has carried a request.
@@ -105,22 +112,35 @@
 
 // Read records when a request begins to arrive, and what it takes of the memory.
 func (c *callerConn) Read(b []byte) (int, error) {
+	c.endTurn()
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
 	}
-	if state, held := c.conns.received(c); state == connReading {
+	switch state, held := c.conns.received(c); state {
+	case connReading:
 		if short := held.Reserve(headCopies * shuntmemory.HeadBytes(b[:n])); short != nil {
 			klog.V(1).InfoS("Connection from a caller closed while a header arrives", "caller", c.RemoteAddr(), "reason", short.Error())
 			_ = c.Close()
 			return 0, short
 		}
+	case connReceiving:
+		c.conns.turns <- struct{}{}
+		c.hasTurn.Store(true)
 	}
 	return n, err
 }
 
+// endTurn lets another connection decode a body.
+func (c *callerConn) endTurn() {
+	if c.hasTurn.CompareAndSwap(true, false) {
+		<-c.conns.turns
+	}
+}
+
 // Write sends a part of an answer.
 func (c *callerConn) Write(b []byte) (int, error) {
+	c.endTurn()
 	c.conns.sending(c)
 	total := 0
 	for {
@@ -296,6 +316,7 @@
 	}
 	switch state {
 	case http.StateIdle, http.StateClosed, http.StateHijacked:
+		c.endTurn()
 	default:
 		return
 	}
@@ -346,6 +367,7 @@
 	if !ok {
 		return true
 	}
+	c.endTurn()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setState(c, connServing)
--- a/shuntrouter/conns_test.go
+++ b/shuntrouter/conns_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,6 +234,44 @@
 	}
 }
 
+// TestDecodingTurns checks that only some connections decode bodies at the same time, and
+// that each gets its turn.
+func TestDecodingTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const conns = 50
+		s := newCallerConns(callerConnsConfig{})
+		var group shuntgroup.Group
+		var decoding, most atomic.Int64
+		for range conns {
+			ours, theirs := net.Pipe()
+			c := &callerConn{Conn: theirs, conns: s}
+			s.add(c)
+			s.mu.Lock()
+			s.setState(c, connReceiving)
+			s.mu.Unlock()
+			group.Go(func() {
+				_, _ = ours.Write([]byte("xy"))
+				_ = ours.Close()
+			})
+			group.Go(func() {
+				for buffer := make([]byte, 1); ; {
+					if _, err := c.Read(buffer); err != nil {
+						s.stateChanged(c, http.StateClosed)
+						return
+					}
+					most.Store(max(most.Load(), decoding.Add(1)))
+					time.Sleep(time.Millisecond)
+					decoding.Add(-1)
+				}
+			})
+		}
+		group.Close()
+		if most.Load() > int64(cap(s.turns)) || len(s.turns) != 0 {
+			t.Errorf("%d connections decoded at the same time, %d still have a turn; want %d at most, none", most.Load(), len(s.turns), cap(s.turns))
+		}
+	})
+}
+
 // TestBodyWithoutMemory checks that a request whose body there is no memory for is refused as
 // not run, and that what has stalled makes room.
 func TestBodyWithoutMemory(t *testing.T) {
