shuntlog: long lines are cut at 4 KiB

Callers saw: nothing yet; the log holds 2,048 lines until they are written, and request IDs, which callers choose, may have up to 1 MiB. Cause: lines had no bound. Change: lines over 4 KiB are cut, and say so. Evidence: TestLongLine.

--- a/shuntlog/log.go
+++ b/shuntlog/log.go
@@ -20,6 +20,8 @@
 const (
 	// bufferedLines is the maximum number of lines waiting to be written.
 	bufferedLines = 2048
+	// maxLineBytes is the length at which lines are cut. Callers choose a part of them.
+	maxLineBytes = 4 << 10
 	// batchBytes is the size at which a batch of lines is written.
 	batchBytes = 64 << 10
 	// flushInterval is how often lines are written. Waiting puts many lines
@@ -43,8 +45,12 @@
 
 // Write implements io.Writer. It never blocks and never fails.
 func (l *Writer) Write(p []byte) (int, error) {
+	line := bytes.Clone(p[:min(len(p), maxLineBytes)])
+	if len(p) > maxLineBytes {
+		line = append(line, " (cut)\n"...)
+	}
 	select {
-	case l.lines <- bytes.Clone(p):
+	case l.lines <- line:
 	default:
 		l.dropped.Add(1)
 	}
--- a/shuntlog/log_test.go
+++ b/shuntlog/log_test.go
@@ -57,3 +57,19 @@
 		}
 	})
 }
+
+// TestLongLine checks that long lines are cut.
+func TestLongLine(t *testing.T) {
+	var group shuntgroup.Group
+	done := make(chan struct{})
+	var out strings.Builder
+	w := NewWriter(&out, &group, done)
+	if n, err := w.Write([]byte(strings.Repeat("x", 10*maxLineBytes) + "\n")); n != 10*maxLineBytes+1 || err != nil {
+		t.Errorf("Write returned %d, %v; want the length, nil", n, err)
+	}
+	close(done)
+	group.Close()
+	if want := strings.Repeat("x", maxLineBytes) + " (cut)\n"; out.String() != want {
+		t.Errorf("%d bytes written; want %d and a line end", out.Len(), len(want))
+	}
+}
