shuntrouter: a route's timeout runs from the end of the request

Callers saw: 503 or 504 for a single request within the limits whose body takes longer to arrive than the route's timeout. Cause: the timeout and the latency goal ran from the header. They are about how long the system keeps a caller waiting, and it does not while the caller sends. Change: both run from the end of the request. The caller's own deadline still runs from the header: it says how long the caller waits.

--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -216,10 +216,14 @@
 	}
 }
 
-// newRequest returns the request to be served for in.
+// newRequest returns the request to be served for in, whose header arrived at the given time
+// and whose body has been read.
 func (r *Router) newRequest(in *http.Request, id string, arrived time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte, held *shuntmemory.Holder) request {
 	q := request{id: id, start: arrived, route: route, table: t}
-	q.deadline = r.deadline(in, route, arrived)
+	if len(body) > 0 {
+		q.start = time.Now()
+	}
+	q.deadline = r.deadline(in, route, arrived, q.start)
 	deadline := q.deadline
 	if end := r.endsAt.Load(); end != nil && end.Before(deadline) {
 		deadline = *end
@@ -262,17 +266,18 @@
 	r.replyUnavailable(w, id, "short of memory", shortRetryAfter)
 }
 
-// deadline returns the time by which the request must be answered: the caller's
-// deadline or the end of the route's timeout, whichever comes first.
-func (r *Router) deadline(in *http.Request, route *shuntroute.Route, start time.Time) time.Time {
-	wait := defaultDeadline
+// deadline returns the time by which the request must be answered: the caller's deadline
+// after its header arrived, or the end of the route's timeout after it was received,
+// whichever comes first.
+func (r *Router) deadline(in *http.Request, route *shuntroute.Route, arrived, received time.Time) time.Time {
+	timeout := orDefault(route.Timeout, defaultDeadline)
+	out := received.Add(timeout)
 	if ms, err := strconv.ParseInt(in.Header.Get(r.config.Headers.Upstream.Deadline), 10, 64); err == nil && ms > 0 {
-		wait = time.Duration(ms) * time.Millisecond
-	}
-	if route.Timeout > 0 {
-		wait = min(wait, route.Timeout)
+		if end := arrived.Add(time.Duration(ms) * time.Millisecond); end.Before(out) {
+			return end
+		}
 	}
-	return start.Add(wait)
+	return out
 }
 
 // endToEnd returns the caller's headers without the hop-by-hop headers and those
--- a/shuntrouter/handler_test.go
+++ b/shuntrouter/handler_test.go
@@ -326,3 +326,30 @@
 		}
 	}
 }
+
+// TestDeadline checks that a caller's deadline runs from the header of its request, and the
+// route's timeout from its end.
+func TestDeadline(t *testing.T) {
+	const taken = 3 * time.Second
+	cases := map[string]struct {
+		deadline string
+		timeout  time.Duration
+		// want is measured from the arrival of the header.
+		want time.Duration
+	}{
+		"the caller's is earlier":  {"1500", time.Second, 1500 * time.Millisecond},
+		"the route's is earlier":   {"9000", time.Second, taken + time.Second},
+		"no caller's":              {"", time.Second, taken + time.Second},
+		"a caller's that is wrong": {"soon", time.Second, taken + time.Second},
+		"neither":                  {"", 0, taken + defaultDeadline},
+	}
+	r := &Router{config: Config{Headers: testHeaders}}
+	for name, c := range cases {
+		in := &http.Request{Header: http.Header{"Left": {c.deadline}}}
+		arrived := time.Now()
+		got := r.deadline(in, &shuntroute.Route{Timeout: c.timeout}, arrived, arrived.Add(taken))
+		if got.Sub(arrived) != c.want {
+			t.Errorf("%s: %v; want %v", name, got.Sub(arrived), c.want)
+		}
+	}
+}
