shuntupstream: an answer with status 000 is no answer

Callers saw: the status of a replica in trouble, if it was 600 to 999; with 000 to 099 a 502, but 503 as not run if the answer also said that the replica had not run the request. Cause: net/http takes any three characters that are a number. Such an answer counted as one from a replica that works, and what its header says was believed. Change: a status below 100 or above 599 makes the reply one that may have run, and the connection is closed. Evidence: three new cases of TestReplyHandling failed (Answered, Answered and Declined for Broken), and two of eleven statuses in TestOddStatus (600 and 999 were passed on; 000 was not).

--- a/shuntrouter/handler_test.go
+++ b/shuntrouter/handler_test.go
@@ -94,6 +94,10 @@
 				return
 			}
 		}
+		if code, ok := strings.CutPrefix(r.URL.Path, "/safe/status"); ok {
+			sendStatus(w, r, code)
+			return
+		}
 		if r.URL.Path == "/one/error" {
 			w.WriteHeader(http.StatusTeapot)
 		}
@@ -152,6 +156,17 @@
 	return nil
 }
 
+// sendStatus answers with a status line that net/http would not send.
+func sendStatus(w http.ResponseWriter, r *http.Request, code string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(buffer, "HTTP/1.1 %s Odd\r\nId: %s\r\nSigned: i-a\r\nContent-Length: 4\r\n\r\nbody", code, r.Header.Get("Id"))
+	_ = buffer.Flush()
+}
+
 // unusedAddress returns an address whose port was free when checked.
 func unusedAddress(t *testing.T) string {
 	t.Helper()
@@ -353,3 +368,15 @@
 		}
 	}
 }
+
+// TestOddStatus checks that an answer whose status is none in HTTP is not passed on, and that
+// the request counts as one that may have run.
+func TestOddStatus(t *testing.T) {
+	tr := newTestRouter(t, true)
+	for _, code := range []string{"000", "007", "099", "600", "999", "0", "20", "2000", "-20", "+20", "abc"} {
+		resp, body := tr.do(t, http.MethodGet, "/safe/status"+code, "")
+		if resp.StatusCode != http.StatusBadGateway || body != "" || resp.Header.Get("Signed") != "" {
+			t.Errorf("status %s: the caller got %d, %q, %v; want 502", code, resp.StatusCode, body, resp.Header)
+		}
+	}
+}
--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -181,13 +181,26 @@
 			r.Held.Add(-c.bound.allowBody())
 			return Reply{}, errors.Trace(err)
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if err := checkStatus(resp); err != nil {
+			r.Held.Add(-c.bound.allowBody())
+			return Reply{}, err
+		}
+		if resp.StatusCode < 200 {
 			continue
 		}
 		return c.readBody(resp, r.Held)
 	}
 }
 
+// checkStatus checks that a reply has a status code of HTTP, since net/http takes any three
+// characters that are a number. What has none is no reply, whatever its header says.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < 100 || resp.StatusCode > 599 {
+		return errors.Errorf("%q is no status of HTTP", resp.Status)
+	}
+	return nil
+}
+
 // readBody reads the rest of a reply and decides whether the connection can be
 // used again.
 func (c *conn) readBody(resp *http.Response, held *shuntmemory.Holder) (Reply, error) {
--- a/shuntupstream/exchange_test.go
+++ b/shuntupstream/exchange_test.go
@@ -103,6 +103,9 @@
 		"no reply at all":             {"\x00\x01\x02 nonsense\r\n\r\n", Broken, "", false},
 		"closed":                      {"", Broken, "", false},
 		"declined":                    {"HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", Declined, "", true},
+		"status 000":                  {"HTTP/1.1 000 No\r\nId: 1\r\nSigned: s\r\nContent-Length: 4\r\n\r\nbody", Broken, "", false},
+		"status 000, declined":        {"HTTP/1.1 000 No\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", Broken, "", false},
+		"status 999":                  {"HTTP/1.1 999 No\r\nId: 1\r\nSigned: s\r\nContent-Length: 4\r\n\r\nbody", Broken, "", false},
 		"failed":                      {"HTTP/1.1 503 No\r\nId: 1\r\nSigned: s\r\nContent-Length: 0\r\n\r\n", Answered, "", true},
 		"for another server":          {"HTTP/1.1 421 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n", Misdirected, "", true},
 	}
