--- a/shuntguard/guard_test.go
+++ b/shuntguard/guard_test.go
@@ -1,12 +1,14 @@
 package shuntguard
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
 	"mulberryshunt.example/mulberryshunt/shuntoutcome"
+	"mulberryshunt.example/mulberryshunt/shunttest"
 )
 
 const testFingerprint = 7
@@ -91,3 +93,33 @@
 		t.Errorf("%d suspects; the limit is %d", n, maxSuspects)
 	}
 }
+
+// TestInnocentRequests checks that of the requests that were in flight on servers that crashed
+// one after the other, the one that was on all of them is a suspect, and the others are not.
+func TestInnocentRequests(t *testing.T) {
+	shunttest.SkipKnownRed(t)
+	const servers, others = 3, 8
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{})
+		for n := range servers {
+			server := fmt.Sprint("s", n)
+			g.RecordCrash(testFingerprint, server, false)
+			for i := range others {
+				g.RecordCrash(testFingerprint+uint64(1+n*others+i), server, false)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if !g.IsSuspect(testFingerprint) {
+			t.Error("the request that was on all servers is no suspect")
+		}
+		suspects := 0
+		for i := range servers * others {
+			if g.IsSuspect(testFingerprint + uint64(1+i)) {
+				suspects++
+			}
+		}
+		if suspects > 0 {
+			t.Errorf("%d of %d requests that were on one server are suspects", suspects, servers*others)
+		}
+	})
+}
