--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -83,7 +83,8 @@
 	// unused holds the connections that have not carried a request yet, and used those
 	// that have and are not serving one. The one without progress for longest is in front.
 	unused, used *list.List
-	closed       int64
+	// closed counts the connections that were closed for the memory or the place of others.
+	closed int64
 }
 
 func newCallerConns(c callerConnsConfig) *callerConns {
@@ -238,6 +239,14 @@
 	_ = c.Close()
 }
 
+// counts returns the number of connections, and how many were closed for the memory or the
+// place of others.
+func (s *callerConns) counts() (open int, closed int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns), s.closed
+}
+
 // callerListener accepts connections from callers and tracks them in conns.
 type callerListener struct {
 	net.Listener
--- a/shuntrouter/metrics.go
+++ b/shuntrouter/metrics.go
@@ -22,12 +22,17 @@
 	docRelayed  = shuntmetric.Doc{Name: "mulberryshunt_router_relayed_total", Labels: "Why, End", Type: "Counter", Text: "Requests that another VM was asked to serve, by why and how that ended; after Refused the next VM was asked.", Since: "0.5"}
 	docLinks    = shuntmetric.Doc{Name: "mulberryshunt_router_links_lost", Type: "Gauge", Text: "1 while the VM has lost its links to the backend servers, else 0.", Since: "0.5"}
 	docOlder    = shuntmetric.Doc{Name: "mulberryshunt_router_older_vms", Type: "Gauge", Text: "Other VMs alive that run a build before protocol 1.", Since: "0.6"}
+	docHeld     = shuntmetric.Doc{Name: "mulberryshunt_router_held_bytes", Type: "Gauge", Unit: "bytes", Text: "Memory held for requests, replies and answers, by the account of the process.", Since: "0.7"}
+	docEvicted  = shuntmetric.Doc{Name: "mulberryshunt_router_evicted_total", Type: "Gauge", Text: "Requests and answers that were given up for their memory since the start.", Since: "0.7"}
+	docShort    = shuntmetric.Doc{Name: "mulberryshunt_router_short_total", Type: "Gauge", Text: "Times that there was no memory for a part of a request or reply since the start.", Since: "0.7"}
+	docConns    = shuntmetric.Doc{Name: "mulberryshunt_router_caller_connections", Type: "Gauge", Text: "Connections from callers, also to the directory and the readiness check.", Since: "0.7"}
+	docClosed   = shuntmetric.Doc{Name: "mulberryshunt_router_caller_connections_closed_total", Type: "Gauge", Text: "Connections from callers that were closed for their memory or to make room for others since the start.", Since: "0.7"}
 	docSeconds  = shuntmetric.Doc{Name: "mulberryshunt_router_seconds", Labels: "End", Type: "Histogram", Unit: "seconds", Text: "Time from the arrival of a request to its reply.", Since: "0.2"}
 )
 
 // MetricDocs describes the metrics of this package.
 func MetricDocs() []shuntmetric.Doc {
-	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited, docRelayed, docLinks, docLeaving, docPaused, docOlder}
+	return []shuntmetric.Doc{docRequests, docSeconds, docOpened, docRevision, docPanics, docLimited, docRelayed, docLinks, docLeaving, docPaused, docOlder, docHeld, docEvicted, docShort, docConns, docClosed}
 }
 
 // registerGauges registers the metrics that are read at collection time.
@@ -50,6 +55,17 @@
 		return 0
 	})
 	shuntmetric.Gauge(set, docOlder, "", func() float64 { return float64(r.node.Snapshot().Older()) })
+	shuntmetric.Gauge(set, docHeld, "", func() float64 { return float64(r.memory.Counts().Used) })
+	shuntmetric.Gauge(set, docEvicted, "", func() float64 { return float64(r.memory.Counts().Evicted) })
+	shuntmetric.Gauge(set, docShort, "", func() float64 { return float64(r.memory.Counts().Refused) })
+	shuntmetric.Gauge(set, docConns, "", func() float64 {
+		open, _ := r.conns.counts()
+		return float64(open)
+	})
+	shuntmetric.Gauge(set, docClosed, "", func() float64 {
+		_, closed := r.conns.counts()
+		return float64(closed)
+	})
 	shuntmetric.Gauge(set, docRevision, "", func() float64 { return float64(r.follower.View().Revision) })
 }
 
