--- a/shuntcall/delegate.go
+++ b/shuntcall/delegate.go
@@ -240,6 +240,10 @@
 			results <- shardResult{shards: len(d.shards), status: Refused, reason: "suspected of crashing backend servers"}
 			return
 		}
+		if err := q.Request.Held.ReserveWork(int64(len(d.shards)) * shardBytes); err != nil {
+			results <- shardResult{shards: len(d.shards), status: Refused, reason: err.Error()}
+			return
+		}
 		for _, shard := range d.shards {
 			if !c.config.Group.Go(func() { results <- c.askShard(ctx, q, g.gate, shard) }) {
 				results <- shardResult{shards: 1, status: Refused, reason: "the process is ending"}
