shuntrouter: the timeout of an empty body in chunks runs from its end too

Callers saw: 503 for such a request that takes longer to arrive than the route's timeout. Cause: only requests whose body has bytes counted as received later than their header. Change: all that announce a body do. Evidence: TestSlowRequest/an_empty_chunked_body failed with 503 and passes.

--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -220,7 +220,7 @@
 // and whose body has been read.
 func (r *Router) newRequest(in *http.Request, id string, arrived time.Time, route *shuntroute.Route, t *shuntroute.Table, body []byte, held *shuntmemory.Holder) request {
 	q := request{id: id, start: arrived, route: route, table: t}
-	if len(body) > 0 {
+	if in.ContentLength != 0 {
 		q.start = time.Now()
 	}
 	q.deadline = r.deadline(in, route, arrived, q.start)
