--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -34,12 +34,6 @@
 	// sendBytes is how much of an answer is written at a time. Each piece that the caller
 	// has taken is progress.
 	sendBytes = 32 << 10
-	// unusedWeight is the weight of the age of a connection that has not carried a request
-	// yet when it is decided which one makes room for a new one.
-	unusedWeight = 4
-	// lingerTime is how long a connection is read after a request on it was refused while
-	// its body was arriving. Closing it earlier may lose the answer on the way.
-	lingerTime = 500 * time.Millisecond
 )
 
 // connState is the state of a caller's connection.
@@ -69,9 +63,13 @@
 }
 
 // callerConns tracks the state of every connection from a caller, so that
-// connections can be closed that are held open without being used. The timeouts
-// of http.Server are not used, because the limits may change while a connection
-// is open.
+// connections can be closed that are held open without being used, and those that
+// take most when there is no room for others. The timeouts of http.Server are not
+// used, because the limits may change while a connection is open.
+//
+// A connection goes from connIdle by connReading, connReceiving if the request has a
+// body, connServing and connSending back to connIdle. A request that is refused before
+// its body has been read stays in connReceiving.
 type callerConns struct {
 	config callerConnsConfig
 	// turns bounds how many request bodies are decoded at the same time. Decoding tiny
@@ -215,98 +213,6 @@
 	}
 }
 
-// evict ends the request on c to free its memory. A request whose body is arriving can still
-// be refused; otherwise the connection is closed.
-func (s *callerConns) evict(c *callerConn) {
-	s.mu.Lock()
-	receiving := c.state == connReceiving
-	s.mu.Unlock()
-	if receiving {
-		_ = c.SetReadDeadline(time.Now())
-		return
-	}
-	s.close(c, "out of memory")
-}
-
-// close closes the connection.
-func (s *callerConns) close(c *callerConn, why string) {
-	klog.V(1).InfoS("Connection from a caller closed", "caller", c.RemoteAddr(), "why", why)
-	s.mu.Lock()
-	s.setState(c, connClosed)
-	delete(s.conns, c)
-	s.closed++
-	s.mu.Unlock()
-	_ = c.Close()
-}
-
-// counts returns the number of connections, and how many were closed for the memory or the
-// place of others.
-func (s *callerConns) counts() (open int, closed int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns), s.closed
-}
-
-// callerListener accepts connections from callers and tracks them in conns.
-type callerListener struct {
-	net.Listener
-	conns *callerConns
-}
-
-// Accept implements net.Listener. A connection beyond the limit takes the place of another
-// one, or is closed if all are serving requests.
-func (l callerListener) Accept() (net.Conn, error) {
-	for {
-		inner, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &callerConn{Conn: inner, conns: l.conns}
-		victim := l.conns.add(c)
-		if victim != nil {
-			l.conns.close(victim, "too many connections")
-		}
-		if victim != c {
-			return c, nil
-		}
-	}
-}
-
-// add tracks c and returns the connection that must be closed for it, or nil. That is c
-// itself if all others are serving requests.
-func (s *callerConns) add(c *callerConn) *callerConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = true
-	victim := c
-	if s.config.MaxConns <= 0 || len(s.conns) <= s.config.MaxConns {
-		victim = nil
-	} else if other := s.worst(time.Now()); other != nil {
-		victim = other
-	}
-	s.setState(c, connIdle)
-	return victim
-}
-
-// worst returns the connection without progress for longest, or nil if all are serving
-// requests. The caller must hold s.mu.
-func (s *callerConns) worst(now time.Time) *callerConn {
-	unused, used := s.unused.Front(), s.used.Front()
-	switch {
-	case unused == nil && used == nil:
-		return nil
-	case unused == nil:
-		return used.Value.(*callerConn)
-	case used == nil:
-		return unused.Value.(*callerConn)
-	}
-	a, b := unused.Value.(*callerConn), used.Value.(*callerConn)
-	if unusedWeight*now.Sub(a.stateSince) > now.Sub(b.stateSince) {
-		return a
-	}
-	return b
-}
-
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
@@ -403,79 +309,3 @@
 		_ = c.Close()
 	}
 }
-
-// orDefault returns v if it is positive, and otherwise fallback.
-func orDefault[T int | time.Duration](v, fallback T) T {
-	if v > 0 {
-		return v
-	}
-	return fallback
-}
-
-// headerBytes returns the length of the request's header, without the request
-// line and separators. It never exceeds the length that the caller sent.
-func headerBytes(r *http.Request) int {
-	n := len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v)
-		}
-	}
-	return n
-}
-
-// headMemory returns the memory that the request's header takes.
-func headMemory(r *http.Request) int64 {
-	total := int64(len(r.RequestURI) + headerBytes(r))
-	for _, values := range r.Header {
-		total += int64(shuntmemory.FieldBytes * len(values))
-	}
-	return total
-}
-
-// Server returns an HTTP server for callers. It enforces the published limits on
-// connections accepted from a listener that Listener returned.
-func (r *Router) Server() *http.Server { return r.conns.server(r, maxHeaderBytes) }
-
-// ServerFor returns an HTTP server for what callers ask of this VM itself. Its connections
-// count among those of callers, and have the same limits, like those of Server.
-func (r *Router) ServerFor(h http.Handler) *http.Server {
-	return r.conns.server(http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
-		_, done, ok := r.conns.beginRequest(in)
-		if !ok {
-			panic(http.ErrAbortHandler)
-		}
-		defer done()
-		h.ServeHTTP(w, in)
-	}), defaultHeaderBytes)
-}
-
-func (s *callerConns) server(h http.Handler, maxHeader int) *http.Server {
-	return &http.Server{Handler: h, MaxHeaderBytes: maxHeader, ConnState: s.stateChanged, ConnContext: s.connContext}
-}
-
-// Listener wraps l so that the published limits are enforced on its connections.
-func (r *Router) Listener(l net.Listener) net.Listener { return callerListener{l, r.conns} }
-
-// limits returns the published limits on callers, or none if there is no table.
-func (r *Router) limits() shuntroute.Limits {
-	if t := r.follower.View().Table; t != nil {
-		return t.Limits()
-	}
-	return shuntroute.Limits{}
-}
-
-// enforceLimits periodically closes callers' connections that exceed the limits,
-// until ctx ends.
-func (r *Router) enforceLimits(ctx context.Context) {
-	t := time.NewTicker(limitCheckInterval)
-	defer t.Stop()
-	for {
-		select {
-		case now := <-t.C:
-			r.conns.enforce(r.limits(), now)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -42,6 +42,9 @@
 	// shortRetryAfter is how long callers are asked to wait while this VM is short of
 	// memory: by then, what has stalled has been evicted.
 	shortRetryAfter = 500 * time.Millisecond
+	// lingerTime is how long a connection is read after a request on it was refused while
+	// its body was arriving. Closing it earlier may lose the answer on the way.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Headers holds the names of the headers that callers and servers use.
