--- a/shuntmemory/account.go
+++ b/shuntmemory/account.go
@@ -33,7 +33,8 @@
 
 // Account is the memory that a process holds for others. It is safe for concurrent use.
 type Account struct {
-	limit, reserve int64 // limit includes the reserve
+	// limit includes the reserve.
+	limit, reserve int64
 
 	mu      sync.Mutex
 	holders map[*Holder]struct{}
@@ -107,8 +108,8 @@
 	return err
 }
 
-// take implements Reserve and ReserveWork. It returns the functions that end the evicted holders, which must
-// be called without the lock.
+// take implements Reserve and ReserveWork. It returns the functions that end the evicted
+// holders, which must be called without the lock.
 func (a *Account) take(h *Holder, n int64, isWork bool, now time.Time) (evictions []func(), err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
