shuntreply: one way to read a reply, for both interfaces; status 000 on every path

Callers saw: on the product's own interface, NotRun for a sub-request that a server in trouble answered with status 000 and a header that says so; it may have run. Cause: the check was made in shuntupstream only; shuntowner reads replies by itself. Change: both read them through shuntreply, which has the check. An answer without a status of HTTP breaks the connection there too, so that the sub-request counts as one that may have run.

--- a/shuntowner/httpconn.go
+++ b/shuntowner/httpconn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mulberryshunt.example/mulberryshunt/shuntconfig"
+	"mulberryshunt.example/mulberryshunt/shuntreply"
 	"mulberryshunt.example/mulberryshunt/shuntsocket"
 )
 
@@ -134,7 +135,7 @@
 	if err := c.writer.Flush(); err != nil {
 		return Response{}, err
 	}
-	resp, err := http.ReadResponse(c.reader, req)
+	resp, err := shuntreply.Read(c.reader, req)
 	if err != nil {
 		return Response{}, err
 	}
--- a/shuntrouter/handler_test.go
+++ b/shuntrouter/handler_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"mulberryshunt.example/mulberryshunt/shuntcall"
 	"mulberryshunt.example/mulberryshunt/shuntcatalog"
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
@@ -94,7 +95,7 @@
 				return
 			}
 		}
-		if code, ok := strings.CutPrefix(r.URL.Path, "/safe/status"); ok {
+		if _, code, ok := strings.Cut(r.URL.Path, "/status"); ok {
 			sendStatus(w, r, code)
 			return
 		}
@@ -369,14 +370,37 @@
 	}
 }
 
-// TestOddStatus checks that an answer whose status is none in HTTP is not passed on, and that
-// the request counts as one that may have run.
+// TestOddStatus checks that an answer whose status is none in HTTP is not passed on, on any way
+// to a server, and that the request counts as one that may have run.
 func TestOddStatus(t *testing.T) {
 	tr := newTestRouter(t, true)
 	for _, code := range []string{"000", "007", "099", "600", "999", "0", "20", "2000", "-20", "+20", "abc"} {
-		resp, body := tr.do(t, http.MethodGet, "/safe/status"+code, "")
-		if resp.StatusCode != http.StatusBadGateway || body != "" || resp.Header.Get("Signed") != "" {
-			t.Errorf("status %s: the caller got %d, %q, %v; want 502", code, resp.StatusCode, body, resp.Header)
+		for _, path := range []string{"/safe/", "/one/", "/all/"} {
+			resp, body := tr.do(t, http.MethodGet, path+"status"+code, "")
+			if resp.StatusCode != http.StatusBadGateway || body != "" || resp.Header.Get("Signed") != "" {
+				t.Errorf("%s, status %s: the caller got %d, %q, %v; want 502", path, code, resp.StatusCode, body, resp.Header)
+			}
 		}
 	}
 }
+
+// TestOddStatusOfVM checks the same of answers that another VM gives to what this one relays or
+// delegates.
+func TestOddStatusOfVM(t *testing.T) {
+	tr := newTestRouter(t, true)
+	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { sendStatus(w, r, "000") }))
+	t.Cleanup(vm.Close)
+	table := tr.router.follower.View().Table
+	route, _ := table.Match("h", "/safe/x")
+	q := request{id: "1", start: time.Now(), deadline: time.Now().Add(time.Second), route: route, table: table}
+	q.upstream = shuntupstream.Request{Method: http.MethodGet, Target: "/safe/x", Host: "h", Header: http.Header{}, ID: "1", Deadline: q.deadline}
+	w := httptest.NewRecorder()
+	relayed := tr.router.relay(t.Context(), w, q, relayLinks, []shuntcall.Delegate{{Address: vm.Listener.Addr().String()}})
+	if !relayed || w.Code != http.StatusBadGateway || w.Body.Len() > 0 {
+		t.Errorf("relayed %v: the caller got %d, %q; want 502", relayed, w.Code, w.Body)
+	}
+	o := tr.router.delegatePool.Do(t.Context(), shuntupstream.Server{ID: "vm", Address: vm.Listener.Addr().String(), MaxConns: 1}, true, q.upstream)
+	if o.Status != shuntupstream.Broken {
+		t.Errorf("delegated: %v; want %v", o.Status, shuntupstream.Broken)
+	}
+}
--- a/shuntupstream/conn.go
+++ b/shuntupstream/conn.go
@@ -15,6 +15,7 @@
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
 	"mulberryshunt.example/mulberryshunt/shuntmemory"
+	"mulberryshunt.example/mulberryshunt/shuntreply"
 	"mulberryshunt.example/mulberryshunt/shuntsocket"
 )
 
@@ -176,12 +177,8 @@
 func (c *conn) readReply(r Request) (Reply, error) {
 	c.bound.allowHead(r.Held)
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := shuntreply.Read(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			r.Held.Add(-c.bound.allowBody())
-			return Reply{}, errors.Trace(err)
-		}
-		if err := checkStatus(resp); err != nil {
 			r.Held.Add(-c.bound.allowBody())
 			return Reply{}, err
 		}
@@ -192,15 +189,6 @@
 	}
 }
 
-// checkStatus checks that a reply has a status code of HTTP, since net/http takes any three
-// characters that are a number. What has none is no reply, whatever its header says.
-func checkStatus(resp *http.Response) error {
-	if resp.StatusCode < 100 || resp.StatusCode > 599 {
-		return errors.Errorf("%q is no status of HTTP", resp.Status)
-	}
-	return nil
-}
-
 // readBody reads the rest of a reply and decides whether the connection can be
 // used again.
 func (c *conn) readBody(resp *http.Response, held *shuntmemory.Holder) (Reply, error) {
