shuntupstream: every request brings its holder

Cause: the pool opened a holder for requests without one. No request of the router is without one since the account was added, only TestEndlessReply's were. Change: the pool's account is gone; the test opens a holder for each request, with the same limit and checks.

--- a/shuntrouter/router.go
+++ b/shuntrouter/router.go
@@ -154,10 +154,10 @@
 	r := &Router{
 		config: c,
 		random: shuntrandom.New(0),
-		pool: shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Dial: c.Dial, Group: c.Group, Memory: memory,
+		pool: shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Dial: c.Dial, Group: c.Group,
 			OnDial: func(s shuntupstream.Server, begun time.Time, err error) { links.Dialed(s.ID, begun, err == nil) }}),
 		balancer:         shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
-		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group, Memory: memory}),
+		delegatePool:     shuntupstream.NewPool(shuntupstream.PoolConfig{Headers: c.Headers.Upstream, Group: c.Group}),
 		delegateBalancer: shuntbalance.NewBalancer(shuntbalance.BalancerConfig{Region: s.Region}),
 		coldLimiter:      shuntbalance.NewColdLimiter(),
 		throttle:         shuntbalance.NewThrottle(),
--- a/shuntupstream/limit_test.go
+++ b/shuntupstream/limit_test.go
@@ -59,19 +59,26 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			bad, good := serve(t, endless(c.head, c.piece)), serve(t, wellBehaved)
-			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}, Memory: shuntmemory.New(shuntmemory.Config{Limit: memoryLimit})})
+			p := NewPool(PoolConfig{Headers: testHeaders, Group: &shuntgroup.Group{}})
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
+			memory := shuntmemory.New(shuntmemory.Config{Limit: memoryLimit})
+			do := func(s Server) Outcome {
+				r := request("1")
+				r.Held = memory.Open()
+				defer r.Held.Close()
+				return p.Do(ctx, s, true, r)
+			}
 			runtime.GC()
 			before, started := heap(), time.Now()
 			var wait sync.WaitGroup
 			for range servers {
 				wait.Go(func() {
-					wantBroken(t, p.Do(ctx, Server{ID: "bad", Address: bad.address, MaxConns: servers}, true, request("1")))
+					wantBroken(t, do(Server{ID: "bad", Address: bad.address, MaxConns: servers}))
 				})
 			}
 			peak := peakHeap(func() {
-				if o := p.Do(ctx, Server{ID: "good", Address: good.address, MaxConns: 1}, true, request("1")); o.Status != Answered {
+				if o := do(Server{ID: "good", Address: good.address, MaxConns: 1}); o.Status != Answered {
 					t.Errorf("another server: %v (%v), want %v", o.Status, o.Err, Answered)
 				}
 			})
--- a/shuntupstream/pool.go
+++ b/shuntupstream/pool.go
@@ -10,7 +10,6 @@
 	"github.com/juju/errors"
 
 	"mulberryshunt.example/mulberryshunt/shuntgroup"
-	"mulberryshunt.example/mulberryshunt/shuntmemory"
 )
 
 const (
@@ -45,9 +44,6 @@
 	OnDial func(s Server, begun time.Time, err error)
 	// Group runs the goroutines that write large request bodies.
 	Group *shuntgroup.Group
-	// Memory accounts for the replies to requests that have no holder of their own, while
-	// they are read. If nil, these are not limited.
-	Memory *shuntmemory.Account
 }
 
 // Pool keeps connections to backend servers and limits their number.
@@ -109,10 +105,6 @@
 	if err != nil {
 		return Outcome{Status: status, Err: err}
 	}
-	if r.Held == nil && p.config.Memory != nil {
-		r.Held = p.config.Memory.Open()
-		defer r.Held.Close()
-	}
 	out := c.exchange(ctx, p.config.Headers, s.ID, r)
 	out.Conn = c.id
 	p.release(s, c)
