shuntmemory, shuntrouter: one piece for what was written several times; same behavior

Cause: six methods of Holder locked and checked for nil by themselves, Add and Set differed in one line; a header was walked through twice for its length and its fields; the greatest length of a body was worked out in two places; gauges unpacked a pair each. Change: Holder.update, headerSize, maxBody and connCounts. Measured: tests pass.

--- a/shuntmemory/account.go
+++ b/shuntmemory/account.go
@@ -130,8 +130,7 @@
 		a.counts.Evicted++
 		a.end(worst)
 	}
-	h.bytes += n
-	a.used += n
+	h.add(n)
 	return evictions, nil
 }
 
@@ -161,71 +160,50 @@
 
 // Add takes n bytes more, or gives bytes back if n is negative, even if the account has no
 // room. A holder that has ended takes none.
-func (h *Holder) Add(n int64) {
-	if h == nil {
-		return
-	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	if !h.ended {
-		h.bytes += n
-		h.account.used += n
-	}
-}
+func (h *Holder) Add(n int64) { h.update(func() { h.add(n) }) }
 
 // Set makes the holder hold exactly n bytes, as Add does.
-func (h *Holder) Set(n int64) {
-	if h == nil {
-		return
-	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	if !h.ended {
-		h.account.used += n - h.bytes
-		h.bytes = n
-	}
-}
+func (h *Holder) Set(n int64) { h.update(func() { h.add(n - h.bytes) }) }
 
 // Moved records progress.
-func (h *Holder) Moved() {
-	if h == nil {
-		return
-	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.movedAt = time.Now()
-}
+func (h *Holder) Moved() { h.update(func() { h.movedAt = time.Now() }) }
 
 // SetEvict sets how the holder is evicted: evict must end what it stands for, without
 // waiting, and may be called by any goroutine that reserves bytes. nil protects the holder.
 // SetEvict also records progress.
 func (h *Holder) SetEvict(evict func()) {
-	if h == nil {
-		return
-	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	h.evict, h.movedAt = evict, time.Now()
+	h.update(func() { h.evict, h.movedAt = evict, time.Now() })
 }
 
 // Ended reports whether the holder has been evicted or closed.
-func (h *Holder) Ended() bool {
-	if h == nil {
-		return false
-	}
-	h.account.mu.Lock()
-	defer h.account.mu.Unlock()
-	return h.ended
+func (h *Holder) Ended() (ended bool) {
+	h.update(func() { ended = h.ended })
+	return ended
 }
 
 // Close gives back what is held.
 func (h *Holder) Close() {
+	h.update(func() {
+		if !h.ended {
+			h.account.end(h)
+		}
+	})
+}
+
+// update runs f with the lock, unless h is nil.
+func (h *Holder) update(f func()) {
 	if h == nil {
 		return
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
+	f()
+}
+
+// add takes n bytes more unless the holder has ended. The caller must hold account.mu.
+func (h *Holder) add(n int64) {
 	if !h.ended {
-		h.account.end(h)
+		h.bytes += n
+		h.account.used += n
 	}
 }
--- a/shuntrouter/conn_limit.go
+++ b/shuntrouter/conn_limit.go
@@ -35,12 +35,17 @@
 	_ = c.Close()
 }
 
-// counts returns the number of connections, and how many were closed for the memory or the
+// connCounts is the number of connections, and how many were closed for the memory or the
 // place of others.
-func (s *callerConns) counts() (open int, closed int64) {
+type connCounts struct {
+	open   int
+	closed int64
+}
+
+func (s *callerConns) counts() connCounts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns), s.closed
+	return connCounts{len(s.conns), s.closed}
 }
 
 // callerListener accepts connections from callers and tracks them in conns.
--- a/shuntrouter/delegated.go
+++ b/shuntrouter/delegated.go
@@ -141,8 +141,7 @@
 	}
 	held := r.memory.Open()
 	defer held.Close()
-	limit := int64(orDefault(table.Limits().BodyBytes, defaultBodyBytes))
-	body, err := shuntmemory.Read(in.Body, shuntmemory.ReadConfig{Holder: held, Length: in.ContentLength, MaxLength: limit})
+	body, err := shuntmemory.Read(in.Body, shuntmemory.ReadConfig{Holder: held, Length: in.ContentLength, MaxLength: maxBody(table)})
 	if err != nil {
 		r.decline(w, id, err.Error())
 		return
--- a/shuntrouter/handler.go
+++ b/shuntrouter/handler.go
@@ -123,7 +123,7 @@
 		r.replyUnavailable(w, id, "no routes are known yet", 0)
 		return
 	}
-	if headerBytes(in) > orDefault(view.Table.Limits().HeaderBytes, defaultHeaderBytes) {
+	if length, _ := headerSize(in); length > orDefault(view.Table.Limits().HeaderBytes, defaultHeaderBytes) {
 		r.replyError(w, id, http.StatusRequestHeaderFieldsTooLarge, "the header is too long", view.Table.Version())
 		return
 	}
@@ -237,13 +237,18 @@
 	return q
 }
 
+// maxBody returns the greatest length of a request's body.
+func maxBody(t *shuntroute.Table) int64 {
+	return int64(orDefault(t.Limits().BodyBytes, defaultBodyBytes))
+}
+
 // readBody reads the body of a request. If the body exceeds the limit, or this VM is short
 // of memory, it replies to the caller and returns false.
 func (r *Router) readBody(w http.ResponseWriter, in *http.Request, id string, t *shuntroute.Table, held *shuntmemory.Holder) ([]byte, bool) {
 	if in.ContentLength == 0 {
 		return nil, true
 	}
-	limit := int64(orDefault(t.Limits().BodyBytes, defaultBodyBytes))
+	limit := maxBody(t)
 	body, err := shuntmemory.Read(http.MaxBytesReader(w, in.Body, limit), shuntmemory.ReadConfig{Holder: held, Length: in.ContentLength, MaxLength: limit})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/shuntrouter/metrics.go
+++ b/shuntrouter/metrics.go
@@ -58,14 +58,8 @@
 	shuntmetric.Gauge(set, docHeld, "", func() float64 { return float64(r.memory.Counts().Used) })
 	shuntmetric.Gauge(set, docEvicted, "", func() float64 { return float64(r.memory.Counts().Evicted) })
 	shuntmetric.Gauge(set, docShort, "", func() float64 { return float64(r.memory.Counts().Refused) })
-	shuntmetric.Gauge(set, docConns, "", func() float64 {
-		open, _ := r.conns.counts()
-		return float64(open)
-	})
-	shuntmetric.Gauge(set, docClosed, "", func() float64 {
-		_, closed := r.conns.counts()
-		return float64(closed)
-	})
+	shuntmetric.Gauge(set, docConns, "", func() float64 { return float64(r.conns.counts().open) })
+	shuntmetric.Gauge(set, docClosed, "", func() float64 { return float64(r.conns.counts().closed) })
 	shuntmetric.Gauge(set, docRevision, "", func() float64 { return float64(r.follower.View().Revision) })
 }
 
--- a/shuntrouter/server.go
+++ b/shuntrouter/server.go
@@ -18,25 +18,23 @@
 	return fallback
 }
 
-// headerBytes returns the length of the request's header, without the request
-// line and separators. It never exceeds the length that the caller sent.
-func headerBytes(r *http.Request) int {
-	n := len(r.Host)
+// headerSize returns the length of the request's header, without the request line and
+// separators, and the number of its fields. The length never exceeds what the caller sent.
+func headerSize(r *http.Request) (length, fields int) {
+	length = len(r.Host)
 	for name, values := range r.Header {
+		fields += len(values)
 		for _, v := range values {
-			n += len(name) + len(v)
+			length += len(name) + len(v)
 		}
 	}
-	return n
+	return length, fields
 }
 
 // headMemory returns the memory that the request's header takes.
 func headMemory(r *http.Request) int64 {
-	total := int64(len(r.RequestURI) + headerBytes(r))
-	for _, values := range r.Header {
-		total += int64(shuntmemory.FieldBytes * len(values))
-	}
-	return total
+	length, fields := headerSize(r)
+	return int64(len(r.RequestURI) + length + shuntmemory.FieldBytes*fields)
 }
 
 // Server returns an HTTP server for callers. It enforces the published limits on
