TestDelegation: declined shards without memory

Measured: with the reservation taken out, 4 requests reach servers and the query is served; with it none do, and it passes.

--- a/shuntcall/delegate_test.go
+++ b/shuntcall/delegate_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 	"mulberryshunt.example/mulberryshunt/shuntroute"
 )
 
@@ -42,6 +43,8 @@
 		vm      behavior
 		regions []string
 		suspect bool
+		// memory is the limit of the account; 0 means no limit.
+		memory  int64
 		status  CallStatus
 		missing int
 		// direct is the number of requests that reach the remote servers, and delegated
@@ -52,6 +55,7 @@
 		"gathered":              {vm: behavior{after: fast, maxShards: far}, status: Served, delegated: 1},
 		"one is missing there":  {vm: behavior{after: fast, maxShards: far - 1}, status: Served, missing: 1, delegated: 1},
 		"declined":              {vm: behavior{declines: -1}, status: Served, direct: far, delegated: 1},
+		"declined, no memory":   {vm: behavior{declines: -1}, memory: near * shardBytes, status: Faulted, missing: near + far, delegated: 1},
 		"not reached":           {vm: behavior{unreachable: true}, status: Served, direct: far},
 		"lost on the way":       {vm: behavior{after: 2 * fast, broken: true}, status: Faulted, missing: far, delegated: 1},
 		"failed there":          {vm: behavior{after: 2 * fast, code: http.StatusBadGateway}, status: Faulted, missing: far, delegated: 1},
@@ -71,7 +75,10 @@
 				ctx, cancel := context.WithTimeout(t.Context(), deadline)
 				defer cancel()
 				start := time.Now()
-				a := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: w.request(start), Start: start, Suspect: c.suspect})
+				request := w.request(start)
+				request.Held = shuntmemory.New(shuntmemory.Config{Limit: c.memory}).Open()
+				defer request.Held.Close()
+				a := w.caller.Scatter(ctx, Query{Route: route, Table: w.table, Request: request, Start: start, Suspect: c.suspect})
 				if a.Status != c.status || a.Missing != c.missing {
 					t.Errorf("ended %v, %d missing (%s); want %v, %d", a.Status, a.Missing, a.Reason, c.status, c.missing)
 				}
