shuntrouter: a late eviction does not end the next request on the connection

Callers saw: nothing yet; a request that is being served, on a kept connection, could lose it. Cause: what evicts a request is called after the account's lock is given up. If the request has ended by then and the next one has begun on its connection, that one was closed or no longer read. Change: the eviction names the holder that it is about, and does nothing once the connection has another. Evidence: TestLateEviction fails without that comparison (closed) and passes with it.

--- a/shuntrouter/conn_limit.go
+++ b/shuntrouter/conn_limit.go
@@ -5,23 +5,27 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"mulberryshunt.example/mulberryshunt/shuntmemory"
 )
 
 // unusedWeight is the weight of the age of a connection that has not carried a request yet
 // when it is decided which one makes room for a new one.
 const unusedWeight = 4
 
-// evict ends the request on c to free its memory. A request whose body is arriving can still
-// be refused; otherwise the connection is closed.
-func (s *callerConns) evict(c *callerConn) {
+// evict ends the request on c whose memory is held by held, unless it has ended by itself. A
+// request whose body is arriving can still be refused; otherwise the connection is closed.
+func (s *callerConns) evict(c *callerConn, held *shuntmemory.Holder) {
 	s.mu.Lock()
-	receiving := c.state == connReceiving
+	isCurrent, receiving := c.held == held, c.state == connReceiving
 	s.mu.Unlock()
-	if receiving {
+	switch {
+	case !isCurrent:
+	case receiving:
 		_ = c.SetReadDeadline(time.Now())
-		return
+	default:
+		s.close(c, "out of memory")
 	}
-	s.close(c, "out of memory")
 }
 
 // close closes the connection.
--- a/shuntrouter/conns.go
+++ b/shuntrouter/conns.go
@@ -192,7 +192,8 @@
 		if c.held == nil {
 			c.held = s.config.Memory.Open()
 		}
-		c.held.SetEvict(func() { s.evict(c) })
+		held := c.held
+		held.SetEvict(func() { s.evict(c, held) })
 	}
 	switch {
 	case state == connClosed:
--- a/shuntrouter/conns_test.go
+++ b/shuntrouter/conns_test.go
@@ -234,6 +234,26 @@
 	}
 }
 
+// TestLateEviction checks that the eviction of a request that has ended meanwhile does not end
+// the next one on its connection.
+func TestLateEviction(t *testing.T) {
+	s := newCallerConns(callerConnsConfig{})
+	c := addConn(t, s, givenConn{state: connReading})
+	first := c.held
+	s.mu.Lock()
+	s.setState(c, connIdle)
+	s.setState(c, connReading)
+	s.mu.Unlock()
+	s.evict(c, first)
+	if c.state != connReading {
+		t.Errorf("the next request's connection is in state %d; want %d", c.state, connReading)
+	}
+	s.evict(c, c.held)
+	if c.state != connClosed {
+		t.Errorf("the evicted request's connection is in state %d; want %d", c.state, connClosed)
+	}
+}
+
 // TestDecodingTurns checks that only some connections decode bodies at the same time, and
 // that each gets its turn.
 func TestDecodingTurns(t *testing.T) {
