TestEviction: a holder that moved just now

Cause: with minStall taken out of the account, all cases passed: the one for it had moved at the very moment. Added: one that moved half of minStall before. Measured: it fails without minStall, and passes.

--- a/shuntmemory/account_test.go
+++ b/shuntmemory/account_test.go
@@ -42,6 +42,7 @@
 		"the largest of the stalled":  {holders: []holder{{bytes: bodies / 2}, {bytes: bodies / 4}}, reserve: bodies / 2, evicted: []int{0}},
 		"the longest stalled":         {holders: []holder{{bytes: bodies / 2, moved: 9 * time.Second}, {bytes: bodies / 2}}, reserve: bodies / 2, evicted: []int{1}},
 		"as many as needed":           {holders: []holder{{bytes: bodies / 2}, {bytes: bodies / 2}}, reserve: bodies, evicted: []int{0, 1}},
+		"none that moved just now":    {holders: []holder{{bytes: bodies, moved: 10*time.Second - minStall/2}}, reserve: bodies / 2, refused: true},
 		"none that moves":             {holders: []holder{{bytes: bodies, moved: 10 * time.Second}}, reserve: bodies / 2, refused: true},
 		"none that is protected":      {holders: []holder{{bytes: bodies, protected: true}}, reserve: bodies / 2, refused: true},
 		"small ones use the reserve":  {holders: []holder{{bytes: bodies, protected: true}}, reserve: smallBytes},
